Serve one statement through the whole path

Endpoints replicate asynchronously; the service, clubs and endpoints come from the configuration document in the platform's object API.

The decisions (fair queue, read routing, confirmed commits, failover) are one state machine without I/O in crates/policy; the node's tasks translate sockets and timers into its events.

--- /dev/null
+++ b/crates/cli/src/demo.rs
@@ -0,0 +1,32 @@
+//! First run: nodes on stand-ins, in one process.
+
+use std::io::Write;
+use std::time::Duration;
+
+use tamarackbend_load::{ADMIN_TOKEN, Fleet, Layout};
+
+/// Runs the demo for `time`, or until the process is interrupted.
+pub(crate) fn run(time: Option<Duration>) -> Result<(), Box<dyn std::error::Error>> {
+    let fleet = Fleet::start(Layout::default())?;
+    let mut output = std::io::stdout().lock();
+    for node in fleet.nodes() {
+        writeln!(output, "entry {}", node.addresses().caller)?;
+    }
+    for node in fleet.nodes() {
+        writeln!(output, "admin {}", node.addresses().admin)?;
+    }
+    writeln!(output, "admin-token {ADMIN_TOKEN}")?;
+    writeln!(output, "platform {}", fleet.platform().address())?;
+    for dsn in fleet.dsns() {
+        writeln!(output, "dsn {dsn}")?;
+    }
+    writeln!(output, "ready")?;
+    output.flush()?;
+    match time {
+        Some(time) => std::thread::sleep(time),
+        None => loop {
+            std::thread::park();
+        },
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,86 @@
+//! Node of the system as a process.
+//!
+//! Exits with status 2 when its settings are not valid, before any socket is opened.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Parser;
+use tamarackbend_config::{LogFormat, Settings};
+use tamarackbend_node::Node;
+use tracing::info;
+
+/// Exit status for settings that are not valid.
+const EXIT_SETTINGS: u8 = 2;
+
+/// Serves callers of a federation's databases and takes part in the fleet.
+#[derive(Parser)]
+#[command(name = "tamarackbendd", version)]
+struct Arguments {
+    /// File with the settings of this node, in YAML.
+    #[arg(long, value_name = "FILE")]
+    settings: PathBuf,
+    /// Check the settings and exit.
+    #[arg(long)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    let settings = match Settings::load(&arguments.settings) {
+        Ok(settings) => settings,
+        Err(error) => {
+            match error.line() {
+                Some(line) => eprintln!("{}:{line}: {error}", arguments.settings.display()),
+                None => eprintln!("{}: {error}", arguments.settings.display()),
+            }
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if arguments.check {
+        println!("settings of {} are valid", settings.vm);
+        return ExitCode::SUCCESS;
+    }
+    start_log(settings.log_format);
+    match Node::start(settings) {
+        Ok(node) => run(node),
+        Err(error) => {
+            eprintln!("tamarackbendd: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start_log(format: LogFormat) {
+    let filter = tracing_subscriber::EnvFilter::try_from_default_env()
+        .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
+    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    match format {
+        LogFormat::Text => builder.init(),
+        LogFormat::Json => builder.json().init(),
+    }
+}
+
+fn run(node: Node) -> ExitCode {
+    let addresses = node.addresses();
+    info!(
+        caller = %addresses.caller,
+        peer = %addresses.peer,
+        admin = %addresses.admin,
+        "node listens"
+    );
+    let runtime = compio::runtime::Runtime::new().expect("a runtime can be created");
+    runtime.block_on(async {
+        let terminated = compio::signal::unix::signal(SIGTERM);
+        let interrupted = compio::signal::ctrl_c();
+        futures_util::pin_mut!(terminated, interrupted);
+        futures_util::future::select(terminated, interrupted).await;
+    });
+    let () = ();
+    node.drain();
+    node.join();
+    ExitCode::SUCCESS
+}
+
+/// Number of the signal with which the platform stops a VM.
+const SIGTERM: i32 = 15;
--- /dev/null
+++ b/crates/load/src/fleet.rs
@@ -0,0 +1,188 @@
+//! Platform, endpoints and nodes of an experiment.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use tamarackbend_config::{Document, Settings};
+use tamarackbend_node::Node;
+use tamarackbend_platform::api::Vm;
+use tamarackbend_standin::deployment::{Deployment, Plan, publish};
+use tamarackbend_standin::endpoint::Group;
+use tamarackbend_standin::platform::Platform;
+
+use crate::error::Code;
+use crate::{Error, Result};
+
+/// Credential of operators in an experiment.
+pub const ADMIN_TOKEN: &str = "operator-of-the-stand-in";
+/// Time for a node to become ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+/// Pause between two looks at whether a node is ready.
+const READY_POLL: Duration = Duration::from_millis(20);
+
+/// What a fleet consists of.
+#[derive(Clone, Debug)]
+pub struct Layout {
+    /// Deployments.
+    pub plans: Vec<Plan>,
+    /// Number of nodes.
+    pub nodes: usize,
+}
+
+impl Default for Layout {
+    fn default() -> Layout {
+        Layout { plans: vec![Plan::amstelweide(), Plan::vukovic()], nodes: 3 }
+    }
+}
+
+/// Running fleet.
+pub struct Fleet {
+    platform: Platform,
+    plans: Vec<Plan>,
+    deployments: Vec<Deployment>,
+    document: Document,
+    nodes: Vec<Node>,
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until every node is ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be had or a node does not become ready.
+    pub fn start(layout: Layout) -> Result<Fleet> {
+        let platform = Platform::start(([127, 0, 0, 1], 0).into())?;
+        let mut deployments = Vec::new();
+        for plan in &layout.plans {
+            deployments.push(plan.start(&platform)?);
+        }
+        let documents: Vec<Document> =
+            deployments.iter().map(|deployment| deployment.document.clone()).collect();
+        let document = publish(&platform, &documents);
+        let plans = layout.plans;
+        let mut fleet = Fleet { platform, plans, deployments, document, nodes: Vec::new() };
+        for _ in 0..layout.nodes {
+            fleet.add_node()?;
+        }
+        for index in 0..layout.nodes {
+            fleet.await_ready(index)?;
+        }
+        Ok(fleet)
+    }
+
+    /// Starts a further node and registers it with the platform; returns its index.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be had.
+    pub fn add_node(&mut self) -> Result<usize> {
+        let index = self.nodes.len();
+        let domains = &self.document.failure_domains;
+        let domain = domains[index % domains.len()].name.clone();
+        let vm = format!("entry-{}", index + 1);
+        let settings = settings(&vm, &domain, self.platform.address())?;
+        let node = Node::start(settings)?;
+        let peer_address = node.addresses().peer;
+        let vm = Vm { name: vm, failure_domain: domain, peer_address, leaving: false };
+        self.platform.set_vm(vm);
+        self.nodes.push(node);
+        Ok(index)
+    }
+
+    /// Waits until a node takes callers.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not within the time it has.
+    pub fn await_ready(&self, index: usize) -> Result<()> {
+        let until = Instant::now() + READY_TIMEOUT;
+        let ready = || {
+            let answer = http(self.nodes[index].addresses().admin, "GET", "/readyz");
+            answer.is_ok_and(|answer| answer.starts_with("HTTP/1.1 200"))
+        };
+        while !ready() {
+            if Instant::now() > until {
+                return Err(Error::new(Code::NotReady));
+            }
+            std::thread::sleep(READY_POLL);
+        }
+        Ok(())
+    }
+
+    /// Returns the platform.
+    pub fn platform(&self) -> &Platform {
+        &self.platform
+    }
+
+    /// Returns the configuration that was in force at the start.
+    pub fn document(&self) -> &Document {
+        &self.document
+    }
+
+    /// Returns the nodes.
+    pub fn nodes(&self) -> &[Node] {
+        &self.nodes
+    }
+
+    /// Returns the group of endpoints of a database.
+    pub fn group(&self, database: &str) -> Option<&Group> {
+        let groups = self.deployments.iter().flat_map(|deployment| &deployment.groups);
+        groups.into_iter().find(|group| group.database() == database)
+    }
+
+    /// Returns the names of the databases of one deployment.
+    pub fn databases(&self, plan: usize) -> Vec<String> {
+        self.plans[plan].databases.clone()
+    }
+
+    /// Returns the connection string of a club for a database at a node.
+    pub fn dsn(&self, plan: usize, club: usize, database: &str, node: usize) -> String {
+        let (name, password, _) = &self.plans[plan].clubs[club];
+        let address = self.nodes[node].addresses().caller;
+        format!("postgresql://{name}:{password}@{address}/{database}")
+    }
+
+    /// Returns one connection string for each deployment and node.
+    pub fn dsns(&self) -> Vec<String> {
+        let mut dsns = Vec::new();
+        for (plan, found) in self.plans.iter().enumerate() {
+            for node in 0..self.nodes.len() {
+                dsns.push(self.dsn(plan, 0, &found.databases[0], node));
+            }
+        }
+        dsns
+    }
+
+    /// Returns the state dump of a node as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the node does not answer.
+    pub fn state(&self, node: usize) -> Result<String> {
+        let answer = http(self.nodes[node].addresses().admin, "GET", "/state")?;
+        Ok(answer.split_once("\r\n\r\n").map(|(_, body)| body.to_owned()).unwrap_or_default())
+    }
+}
+
+fn settings(vm: &str, domain: &str, platform: SocketAddr) -> Result<Settings> {
+    let text = format!(
+        "vm: {vm}\nfailure_domain: {domain}\ncaller_address: 127.0.0.1:0\n\
+         peer_address: 127.0.0.1:0\nadmin_address: 127.0.0.1:0\n\
+         platform_address: {platform}\nadmin_token: {ADMIN_TOKEN}\n"
+    );
+    Ok(Settings::from_yaml(&text)?)
+}
+
+fn http(address: SocketAddr, method: &str, path: &str) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect(address)?;
+    stream.set_read_timeout(Some(READY_TIMEOUT))?;
+    let request = format!(
+        "{method} {path} HTTP/1.1\r\nHost: {address}\r\nAuthorization: Bearer {ADMIN_TOKEN}\r\n\
+         Connection: close\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes())?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer)?;
+    Ok(answer)
+}
--- /dev/null
+++ b/crates/node/src/control/mod.rs
@@ -0,0 +1,112 @@
+//! What a node learns from the platform: configuration, VMs and keys.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use compio::runtime::JoinHandle;
+use futures_channel::oneshot;
+use tamarackbend_config::{Document, Settings};
+use tamarackbend_platform::api::{KIND_CONFIG, KIND_KEY, Keys as KeyObject};
+use tamarackbend_platform::{Client, Store};
+use tamarackbend_policy::retry::Backoff;
+use tracing::warn;
+
+use crate::entry::Keys;
+use crate::hub::{Config, Message, Sender};
+
+/// Time that one watch of the configuration waits for a change.
+const WATCH_WAIT: Duration = Duration::from_secs(30);
+/// Time between two looks of a node that does not watch at whether it should.
+const IDLE_WAIT: Duration = Duration::from_secs(1);
+/// Time between two reads of the list of VMs.
+const VMS_INTERVAL: Duration = Duration::from_secs(2);
+/// Time between two reads of the keys.
+const KEYS_INTERVAL: Duration = Duration::from_secs(60);
+/// First delay after a failed call.
+const RETRY_BASE: Duration = Duration::from_millis(200);
+/// Longest delay after a failed call.
+const RETRY_CAP: Duration = Duration::from_secs(10);
+
+/// Starts to follow the platform; returns the keys of session tokens and the tasks.
+pub(crate) fn start(
+    _settings: &Settings,
+    client: Client,
+    hub: Sender,
+) -> (Keys, Vec<JoinHandle<()>>) {
+    let keys = Keys::default();
+    let tasks = vec![
+        compio::runtime::spawn(follow_config(client.clone(), hub.clone())),
+        compio::runtime::spawn(follow_vms(client.clone(), hub)),
+        compio::runtime::spawn(follow_keys(client, keys.clone())),
+    ];
+    (keys, tasks)
+}
+
+async fn follow_config(client: Client, hub: Sender) {
+    let mut store = Store::new(client.clone());
+    let mut backoff = Backoff::new(RETRY_BASE, RETRY_CAP, rand::random());
+    let mut version = 0;
+    loop {
+        if version > 0 && !is_watcher(&hub).await {
+            compio::time::sleep(IDLE_WAIT).await;
+            continue;
+        }
+        let seen = client.watch(KIND_CONFIG, "head", version, WATCH_WAIT).await;
+        let loaded = match seen {
+            Ok(seen) if seen == version => continue,
+            Ok(_) => load(&mut store).await,
+            Err(_) => None,
+        };
+        match loaded {
+            Some(config) => {
+                version = config.version;
+                backoff.reset();
+                // The hub ends with the node.
+                let _ = hub.unbounded_send(Message::Config(Arc::new(config)));
+            }
+            None => compio::time::sleep(backoff.next_delay()).await,
+        }
+    }
+}
+
+async fn is_watcher(hub: &Sender) -> bool {
+    let (reply, answer) = oneshot::channel();
+    hub.unbounded_send(Message::IsWatcher(reply)).is_ok() && answer.await.unwrap_or(false)
+}
+
+async fn load(store: &mut Store) -> Option<Config> {
+    let published = store.load().await.ok()?;
+    let document = match Document::from_sections(&published.sections) {
+        Ok(document) => document,
+        Err(error) => {
+            warn!(%error, version = published.version, "configuration is not valid");
+            return None;
+        }
+    };
+    Some(Config { version: published.version, document, sections: published.sections })
+}
+
+async fn follow_vms(client: Client, hub: Sender) {
+    loop {
+        if let Ok(vms) = client.vms().await {
+            let _ = hub.unbounded_send(Message::Vms(vms));
+        }
+        compio::time::sleep(VMS_INTERVAL).await;
+    }
+}
+
+async fn follow_keys(client: Client, keys: Keys) {
+    let mut backoff = Backoff::new(RETRY_BASE, RETRY_CAP, rand::random());
+    loop {
+        let object = client.get(KIND_KEY, "session-token").await.ok().flatten();
+        let found = object.and_then(|o| serde_json::from_value::<KeyObject>(o.value).ok());
+        match found {
+            Some(found) => {
+                keys.set(found.keys);
+                backoff.reset();
+                compio::time::sleep(KEYS_INTERVAL).await;
+            }
+            None => compio::time::sleep(backoff.next_delay()).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/error.rs
@@ -0,0 +1,36 @@
+//! Errors of this crate.
+
+use std::io;
+
+use displaydoc::Display;
+
+/// Result of this crate.
+pub type Result<T> = std::result::Result<T, Error>;
+
+#[derive(Debug, Display)]
+pub(crate) enum Code {
+    /// N6001: cannot listen for {0}: {1}
+    Listen(&'static str, io::Error),
+    /// N6002: cannot start a thread: {0}
+    Thread(io::Error),
+}
+
+/// Why a node did not start.
+#[derive(Debug)]
+pub struct Error {
+    code: Box<Code>,
+}
+
+impl Error {
+    pub(crate) fn new(code: Code) -> Error {
+        Error { code: Box::new(code) }
+    }
+}
+
+impl std::fmt::Display for Error {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.code.fmt(formatter)
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/node/src/hub/view.rs
@@ -0,0 +1,295 @@
+//! View of the fleet: the platform's list, corrected by what links show.
+
+use std::time::{Duration, Instant};
+
+use futures_channel::mpsc;
+use tamarackbend_platform::api::Vm;
+use tamarackbend_policy::owner::Event;
+use tamarackbend_policy::ownership::{self, Candidate, VmId};
+use tamarackbend_policy::spread;
+use tamarackbend_wire::{Frame, Heartbeat, OpinionRequest, frame::Body};
+use tracing::info;
+
+use super::{Hub, Message, Opinion, Question};
+use crate::link::Link;
+use crate::owner;
+
+/// Time for which a peer that could not be reached gets no databases.
+const SUSPECT_TIME: Duration = Duration::from_secs(3);
+/// Silence on a link with statements on their way after which the peer is asked for a sign.
+const SILENCE: Duration = Duration::from_millis(700);
+/// Silence after which the link is given up.
+const LOST: Duration = Duration::from_millis(2000);
+/// Time for which a peer's word that it is leaving holds.
+const LEAVING_TIME: Duration = Duration::from_secs(60);
+/// Peers that are asked whether they reach an endpoint.
+const OPINIONS: usize = 3;
+/// Time that peers have to answer.
+const OPINION_TIMEOUT: Duration = Duration::from_millis(300);
+
+impl Hub {
+    /// Returns the nodes that may own databases.
+    pub(super) fn candidates(&self) -> Vec<Candidate> {
+        let live = |vm: &&Vm| {
+            let away = vm.leaving || self.leaving_peers.contains_key(&vm.name);
+            let own = vm.name == self.settings.vm;
+            !own && !away && !self.suspects.contains_key(&vm.name)
+        };
+        let candidate =
+            |vm: &Vm| Candidate { vm: vm.name.clone(), failure_domain: vm.failure_domain.clone() };
+        let mut candidates: Vec<Candidate> =
+            self.vms.values().filter(live).map(candidate).collect();
+        if self.draining.is_none() || candidates.is_empty() {
+            let (vm, failure_domain) =
+                (self.settings.vm.clone(), self.settings.failure_domain.clone());
+            candidates.push(Candidate { vm, failure_domain });
+        }
+        candidates
+    }
+
+    /// Returns the node that owns `database`, none if the database is not configured.
+    pub(super) fn owner_of(&self, database: &str) -> Option<VmId> {
+        let (_, found) = self.config.document.database(database)?;
+        let preferred = found.endpoints.first().map(|endpoint| endpoint.failure_domain.as_str());
+        let candidates = self.candidates();
+        ownership::owner(database, candidates.iter(), preferred).map(|owner| owner.vm.clone())
+    }
+
+    /// Returns the local owner of `database`, which is started if there is none.
+    pub(super) fn local_owner(&mut self, database: &str) -> Option<&owner::Handle> {
+        if !self.owners.contains_key(database) {
+            let (service, found) = self.config.document.database(database)?;
+            let setup = owner::Setup {
+                service: service.clone(),
+                database: found.clone(),
+                failure_domain: self.settings.failure_domain.clone(),
+                region: self.region(&self.settings.failure_domain),
+                regions: found
+                    .endpoints
+                    .iter()
+                    .map(|endpoint| self.region(&endpoint.failure_domain))
+                    .collect(),
+                answer_bytes: self.settings.limits.answer_bytes,
+                statement_timeout: self.settings.limits.statement_timeout,
+            };
+            let handle = owner::start(setup, self.client.clone(), self.sender.clone());
+            self.owners.insert(database.to_owned(), handle);
+        }
+        self.owners.get(database)
+    }
+
+    /// Starts owners for the databases that are this node's and retires those that are not.
+    pub(super) fn sync_owners(&mut self) {
+        let names: Vec<String> =
+            self.config.document.databases().map(|(_, database)| database.name.clone()).collect();
+        for name in &names {
+            let own = self.owner_of(name).as_ref() == Some(&self.settings.vm);
+            if own {
+                self.local_owner(name);
+            }
+            if let Some(owner) = self.owners.get_mut(name) {
+                owner.retire(!own);
+            }
+        }
+        let gone =
+            |name: &String, owner: &owner::Handle| owner.has_retired() || !names.contains(name);
+        let stopped: Vec<String> = self
+            .owners
+            .iter()
+            .filter(|(name, owner)| gone(name, owner))
+            .map(|(n, _)| n.clone())
+            .collect();
+        for name in stopped {
+            self.owners.remove(&name);
+            self.owner_states.remove(&name);
+        }
+    }
+
+    fn region(&self, failure_domain: &str) -> String {
+        self.config.document.region(failure_domain).unwrap_or_default().to_owned()
+    }
+
+    pub(super) fn set_vms(&mut self, vms: Vec<Vm>) {
+        self.vms = vms.into_iter().map(|vm| (vm.name.clone(), vm)).collect();
+        self.sync_owners();
+    }
+
+    pub(super) fn other_vms(&self) -> Vec<VmId> {
+        self.vms.keys().filter(|vm| **vm != self.settings.vm).cloned().collect()
+    }
+
+    pub(super) fn is_watcher(&self) -> bool {
+        let candidates = self.candidates();
+        let order = spread::order(&candidates, &self.settings.failure_domain);
+        spread::is_watcher(&order, &self.settings.vm)
+    }
+
+    pub(super) fn suspect(&mut self, vm: &VmId) {
+        if self.suspects.insert(vm.clone(), Instant::now() + SUSPECT_TIME).is_none() {
+            info!(vm = self.settings.vm, peer = vm, "peer is suspected");
+        }
+    }
+
+    pub(super) fn expire_suspects(&mut self) {
+        let now = Instant::now();
+        self.suspects.retain(|_, until| *until > now);
+        self.leaving_peers.retain(|_, until| *until > now);
+    }
+
+    pub(super) fn link_up(&mut self, link: Link) {
+        let body = Body::Heartbeat(self.own_heartbeat());
+        link.send(Frame::new(body));
+        self.suspects.remove(&link.vm);
+        if !self.links.contains_key(&link.vm) {
+            self.links.insert(link.vm.clone(), link);
+        } else if let Some(known) = self.links.get_mut(&link.vm) {
+            match known.id == link.id {
+                true => known.connected = true,
+                false => known.add_return_path(link),
+            }
+        }
+    }
+
+    pub(super) fn link_down(&mut self, vm: &VmId, id: u64) {
+        let Some(link) = self.links.get_mut(vm) else {
+            return;
+        };
+        if link.id != id {
+            return link.remove_return_path(id);
+        }
+        let connected = link.connected;
+        self.links.remove(vm);
+        self.suspect(vm);
+        self.settle_lost(vm, connected);
+        let gone: Vec<u64> =
+            self.remote_sessions.iter().filter(|(_, from)| *from == vm).map(|(s, _)| *s).collect();
+        for session in gone {
+            self.remote_sessions.remove(&session);
+            for owner in self.owners.values() {
+                owner.send(owner::Message::EndSession(session));
+            }
+        }
+        self.sync_owners();
+    }
+
+    /// Asks for a sign of life on links that are silent with statements on their way.
+    pub(super) fn check_links(&mut self) {
+        let now = Instant::now();
+        let waiting: Vec<VmId> = self
+            .outstanding
+            .values()
+            .filter(|outstanding| now.duration_since(outstanding.sent) > SILENCE)
+            .map(|outstanding| outstanding.vm.clone())
+            .collect();
+        let heartbeat = self.own_heartbeat();
+        let mut lost = Vec::new();
+        for (vm, link) in &mut self.links {
+            let silence = now.duration_since(link.heard);
+            if !waiting.contains(vm) || silence < SILENCE {
+                link.asked = None;
+                continue;
+            }
+            match link.asked {
+                None => {
+                    link.asked = Some(now);
+                    link.send(Frame::new(Body::Heartbeat(heartbeat.clone())));
+                }
+                Some(asked) if now.duration_since(asked) > LOST - SILENCE => {
+                    lost.push((vm.clone(), link.id));
+                }
+                Some(_) => {}
+            }
+        }
+        for (vm, id) in lost {
+            self.link_down(&vm, id);
+        }
+    }
+
+    pub(super) fn own_heartbeat(&self) -> Heartbeat {
+        Heartbeat {
+            config_version: self.config.version,
+            leaving: self.draining.is_some(),
+            endpoints_leaving: Vec::new(),
+        }
+    }
+
+    pub(super) fn heartbeat(&mut self, vm: &VmId, heartbeat: &Heartbeat) {
+        if heartbeat.leaving
+            && self.leaving_peers.insert(vm.clone(), Instant::now() + LEAVING_TIME).is_none()
+        {
+            self.sync_owners();
+        }
+        self.compare_versions(vm, heartbeat.config_version);
+    }
+
+    pub(super) fn ask_peers(
+        &mut self,
+        database: &str,
+        endpoint: usize,
+        reply: mpsc::UnboundedSender<owner::Message>,
+    ) {
+        let question = self.next_question;
+        self.next_question += 1;
+        let own_domain = self.settings.failure_domain.clone();
+        let mut peers = self.candidates();
+        peers.retain(|peer| peer.vm != self.settings.vm);
+        peers.sort_by_key(|peer| {
+            let connected = self.links.get(&peer.vm).is_some_and(|link| link.connected);
+            (peer.failure_domain == own_domain, !connected)
+        });
+        let asked = peers.iter().take(OPINIONS).map(|peer| peer.vm.clone()).collect::<Vec<_>>();
+        let request =
+            OpinionRequest { question, database: database.to_owned(), endpoint: endpoint as u32 };
+        let mut waiting = 0;
+        for vm in &asked {
+            waiting += usize::from(self.send(vm, Body::OpinionRequest(request.clone())));
+        }
+        let until = Instant::now() + OPINION_TIMEOUT;
+        self.questions.insert(question, Question { waiting, denied: 0, until, reply });
+        self.settle_question(question);
+    }
+
+    pub(super) fn opinion(&mut self, question: u64, reached: bool) {
+        if let Some(asked) = self.questions.get_mut(&question) {
+            asked.waiting = asked.waiting.saturating_sub(1);
+            asked.denied += usize::from(reached);
+            self.settle_question(question);
+        }
+    }
+
+    pub(super) fn expire_questions(&mut self) {
+        let now = Instant::now();
+        for question in self.questions.values_mut().filter(|question| question.until <= now) {
+            question.waiting = 0;
+        }
+        for question in self.questions.keys().copied().collect::<Vec<_>>() {
+            self.settle_question(question);
+        }
+    }
+
+    fn settle_question(&mut self, question: u64) {
+        if self.questions.get(&question).is_some_and(|asked| asked.waiting == 0 || asked.denied > 0)
+            && let Some(asked) = self.questions.remove(&question)
+        {
+            let event = Event::Opinions { denied: asked.denied };
+            // The owner may have stopped.
+            let _ = asked.reply.unbounded_send(owner::Message::Event(event));
+        }
+    }
+
+    pub(super) fn opinion_request(&mut self, vm: VmId, request: &OpinionRequest) {
+        let question = request.question;
+        let Some(address) = self.endpoint_address(&request.database, request.endpoint as usize)
+        else {
+            return;
+        };
+        let (sender, database) = (self.sender.clone(), request.database.clone());
+        let domain = self.settings.failure_domain.clone();
+        compio::runtime::spawn(async move {
+            let reached = owner::reaches(address, &database, &domain).await;
+            let opinion = Opinion { question, reached };
+            let _ = sender.unbounded_send(Message::Asked { vm, opinion });
+        })
+        .detach();
+    }
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,27 @@
+//! Decisions of a node, free of I/O.
+//!
+//! Every module here is a deterministic state machine or a pure function. Time is a [`Duration`]
+//! since an arbitrary start and is passed in; random choices take a seed. The tasks of the node
+//! translate sockets and timers into events and carry out the returned actions, so a failure test
+//! replays a decision exactly and a naive version can run beside it on the same events.
+//!
+//! ```
+//! use std::time::Duration;
+//! use tamarackbend_policy::owner::{Action, Event, Owner, Settings};
+//!
+//! let mut owner = Owner::new(Settings::default());
+//! let actions = owner.step(Duration::ZERO, Event::Tick);
+//! assert!(actions.iter().any(|action| matches!(action, Action::ReadGroup)));
+//! ```
+//!
+//! [`Duration`]: std::time::Duration
+
+pub mod code;
+pub mod failover;
+pub mod owner;
+pub mod ownership;
+pub mod position;
+pub mod queue;
+pub mod retry;
+pub mod session;
+pub mod spread;
--- /dev/null
+++ b/crates/postgres/src/scram.rs
@@ -0,0 +1,102 @@
+//! Server side of SCRAM-SHA-256 (RFC 5802 and RFC 7677).
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use hmac::{Hmac, Mac};
+use rand::RngExt;
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+use crate::error::Code;
+use crate::{Error, Result};
+
+/// Bytes of the server's part of the nonce.
+const NONCE_BYTES: usize = 18;
+
+/// Returns the verifier of a password, as PostgreSQL stores it.
+pub fn verifier(password: &str) -> String {
+    postgres_protocol::password::scram_sha_256(password.as_bytes())
+}
+
+/// One login in progress.
+pub struct Exchange {
+    stored_key: Vec<u8>,
+    server_key: Vec<u8>,
+    client_first: String,
+    server_first: String,
+    nonce: String,
+}
+
+impl Exchange {
+    /// Starts an exchange with the client's first message; returns it with the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the message or the verifier is not well-formed.
+    pub fn new(verifier: &str, client_first: &str) -> Result<(Exchange, String)> {
+        Exchange::begin(verifier, client_first).ok_or_else(|| Error::new(Code::Password))
+    }
+
+    /// Checks the client's final message; returns the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the client does not know the password.
+    pub fn finish(&self, client_final: &str) -> Result<String> {
+        self.verify(client_final).ok_or_else(|| Error::new(Code::Password))
+    }
+
+    fn begin(verifier: &str, client_first: &str) -> Option<(Exchange, String)> {
+        let (iterations, salt, stored, server) = split_verifier(verifier)?;
+        let bare = client_first.strip_prefix("n,,").or(client_first.strip_prefix("y,,"))?;
+        let client_nonce = attribute(bare, 'r')?;
+        let random: [u8; NONCE_BYTES] = rand::rng().random();
+        let nonce = format!("{client_nonce}{}", STANDARD.encode(random));
+        let server_first = format!("r={nonce},s={salt},i={iterations}");
+        let exchange = Exchange {
+            stored_key: STANDARD.decode(stored).ok()?,
+            server_key: STANDARD.decode(server).ok()?,
+            client_first: bare.to_owned(),
+            server_first: server_first.clone(),
+            nonce,
+        };
+        Some((exchange, server_first))
+    }
+
+    fn verify(&self, client_final: &str) -> Option<String> {
+        let (unsigned, proof) = client_final.rsplit_once(",p=")?;
+        if attribute(unsigned, 'r')? != self.nonce {
+            return None;
+        }
+        let proof = STANDARD.decode(proof).ok()?;
+        let message = format!("{},{},{unsigned}", self.client_first, self.server_first);
+        let signature = sign(&self.stored_key, &message)?;
+        if proof.len() != signature.len() {
+            return None;
+        }
+        let key: Vec<u8> = proof.iter().zip(&signature).map(|(a, b)| a ^ b).collect();
+        let known = Sha256::digest(&key).as_slice().ct_eq(&self.stored_key);
+        if !bool::from(known) {
+            return None;
+        }
+        Some(format!("v={}", STANDARD.encode(sign(&self.server_key, &message)?)))
+    }
+}
+
+fn split_verifier(verifier: &str) -> Option<(&str, &str, &str, &str)> {
+    let rest = verifier.strip_prefix("SCRAM-SHA-256$")?;
+    let (parameters, keys) = rest.split_once('$')?;
+    let (iterations, salt) = parameters.split_once(':')?;
+    let (stored, server) = keys.split_once(':')?;
+    Some((iterations, salt, stored, server))
+}
+
+fn attribute(message: &str, name: char) -> Option<&str> {
+    message.split(',').find_map(|part| part.strip_prefix(name)?.strip_prefix('='))
+}
+
+fn sign(key: &[u8], message: &str) -> Option<Vec<u8>> {
+    let mut mac = Hmac::<Sha256>::new_from_slice(key).ok()?;
+    mac.update(message.as_bytes());
+    Some(mac.finalize().into_bytes().to_vec())
+}
--- /dev/null
+++ b/crates/standin/src/endpoint/session.rs
@@ -0,0 +1,567 @@
+//! One connection to an endpoint.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use compio::net::TcpStream;
+use futures_util::FutureExt;
+use rusqlite::Connection;
+use rusqlite::types::Value;
+use tamarackbend_net::{Reader, Writer, split};
+use tamarackbend_postgres::message::{
+    self, Authentication, Backend, Bind, BindComplete, CloseComplete, CommandComplete, DataRow,
+    DecodeContext, EmptyQueryResponse, Frontend, NoData, ParameterDescription, ParameterStatus,
+    ParseComplete, ProtocolVersion, ReadyForQuery, RowDescription, Startup, TransactionStatus,
+};
+
+use super::engine::{self, Failure, Logged, Rows};
+use super::log::{Server, follow};
+use super::{infer, types};
+
+/// Pause before a statement that met a lock is tried again.
+const LOCK_RETRY: Duration = Duration::from_millis(1);
+/// Tries of a statement that meets a lock.
+const LOCK_TRIES: u32 = 5000;
+/// Pause between two looks at whether an endpoint still stands still.
+const STILL_POLL: Duration = Duration::from_millis(5);
+
+type Servers = Vec<Rc<RefCell<Server>>>;
+
+#[derive(Clone)]
+struct Prepared {
+    sql: String,
+    types: Vec<u32>,
+}
+
+struct Portal {
+    sql: String,
+    parameters: Vec<Value>,
+    formats: Vec<i16>,
+}
+
+struct Session {
+    servers: Servers,
+    index: usize,
+    connection: Connection,
+    transaction: TransactionStatus,
+    /// Whether an explicit transaction writes.
+    logged: Vec<Logged>,
+    prepared: BTreeMap<String, Prepared>,
+    portals: BTreeMap<String, Portal>,
+    skip_to_sync: bool,
+    output: BytesMut,
+}
+
+/// Serves one connection until it ends or the endpoint drops it.
+pub(super) async fn serve(stream: TcpStream, index: usize, servers: Servers) {
+    let killed = servers[index].borrow_mut().register();
+    let (reader, writer) = split(stream);
+    let session = converse(reader, writer, index, servers.clone()).fuse();
+    futures_util::pin_mut!(session);
+    let mut killed = killed.fuse();
+    futures_util::select! {
+        _ = session => {}
+        _ = killed => {}
+    }
+}
+
+/// Counts a connection as long as it exists.
+struct Slot {
+    server: Rc<RefCell<Server>>,
+}
+
+impl Slot {
+    fn take(server: &Rc<RefCell<Server>>) -> Option<Slot> {
+        let mut state = server.borrow_mut();
+        if state.connections >= state.slots {
+            return None;
+        }
+        state.connections += 1;
+        state.most_connections = state.most_connections.max(state.connections);
+        Some(Slot { server: server.clone() })
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.server.borrow_mut().connections -= 1;
+    }
+}
+
+async fn converse(
+    mut reader: Reader,
+    mut writer: Writer,
+    index: usize,
+    servers: Servers,
+) -> Option<()> {
+    let startup = read_startup(&mut reader).await?;
+    let name = startup.parameters.get("application_name").cloned().unwrap_or_default();
+    let mut parts = name.split('/').skip(1);
+    let control = parts.next() == Some("control");
+    let domain = parts.next().unwrap_or_default().to_owned();
+    let server = servers[index].clone();
+    stand_still(&server).await;
+    let latency = server.borrow().latency.clone();
+    let delay = latency.between(&domain, &server.borrow().failure_domain);
+    let mut output = BytesMut::new();
+    let slot = if control { None } else { Slot::take(&server) };
+    if !control {
+        pause(latency.connect + delay * 2).await;
+    }
+    if slot.is_none() && !control {
+        message::put(&message::error("FATAL", "53300", "too many connections", None), &mut output)
+            .ok()?;
+        writer.send(&mut output).await.ok()?;
+        return None;
+    }
+    greet(&mut output)?;
+    writer.send(&mut output).await.ok()?;
+    let connection = server.borrow().engine.connect();
+    let mut session = Session {
+        servers,
+        index,
+        connection,
+        transaction: TransactionStatus::Idle,
+        logged: Vec::new(),
+        prepared: BTreeMap::new(),
+        portals: BTreeMap::new(),
+        skip_to_sync: false,
+        output: BytesMut::new(),
+    };
+    loop {
+        if reader.fill().await.ok()? == 0 {
+            return None;
+        }
+        pause(delay).await;
+        while let Some(message) = message::take_frontend(&mut reader.input).ok()? {
+            stand_still(&server).await;
+            session.handle(message).await?;
+        }
+        let late = Duration::from_millis(server.borrow().faults().late_ms);
+        pause(delay + late).await;
+        stand_still(&server).await;
+        if !session.output.is_empty() {
+            writer.send(&mut session.output).await.ok()?;
+        }
+    }
+}
+
+async fn read_startup(reader: &mut Reader) -> Option<Startup> {
+    let mut context = DecodeContext::new(ProtocolVersion::PROTOCOL3_0);
+    context.awaiting_frontend_ssl = false;
+    loop {
+        match Frontend::decode(&mut reader.input, &context).ok()? {
+            Some(Frontend::Startup(startup)) => return Some(startup),
+            Some(_) => return None,
+            None if reader.fill().await.ok()? == 0 => return None,
+            None => {}
+        }
+    }
+}
+
+fn greet(output: &mut BytesMut) -> Option<()> {
+    message::put(&Backend::Authentication(Authentication::Ok), output).ok()?;
+    for (name, value) in [("server_version", "16.0"), ("client_encoding", "UTF8")] {
+        let status = ParameterStatus::new(name.to_owned(), value.to_owned());
+        message::put(&Backend::ParameterStatus(status), output).ok()?;
+    }
+    let ready = ReadyForQuery::new(TransactionStatus::Idle);
+    message::put(&Backend::ReadyForQuery(ready), output).ok()
+}
+
+async fn pause(duration: Duration) {
+    if !duration.is_zero() {
+        compio::time::sleep(duration).await;
+    }
+}
+
+async fn stand_still(server: &Rc<RefCell<Server>>) {
+    loop {
+        let faults = server.borrow().faults();
+        if !faults.paused && !faults.unreachable {
+            return;
+        }
+        compio::time::sleep(STILL_POLL).await;
+    }
+}
+
+impl Session {
+    async fn handle(&mut self, message: Frontend) -> Option<()> {
+        if self.skip_to_sync && !matches!(message, Frontend::Sync(_)) {
+            return Some(());
+        }
+        let result = match message {
+            Frontend::Query(query) => {
+                self.query(&query.query).await;
+                self.put_ready();
+                Ok(())
+            }
+            Frontend::Sync(_) => {
+                self.skip_to_sync = false;
+                self.put_ready();
+                Ok(())
+            }
+            Frontend::Parse(parse) => {
+                let name = parse.name.unwrap_or_default();
+                self.parse(name, parse.query, &parse.type_oids)
+            }
+            Frontend::Bind(bind) => self.bind(bind),
+            Frontend::Describe(describe) => {
+                let name = describe.name.unwrap_or_default();
+                if describe.target_type == b'S' {
+                    self.describe_statement(&name)
+                } else {
+                    self.describe_portal(&name)
+                }
+            }
+            Frontend::Execute(execute) => self.execute(&execute.name.unwrap_or_default()).await,
+            Frontend::Close(close) => {
+                let name = close.name.unwrap_or_default();
+                self.prepared.remove(&name);
+                self.put(&Backend::CloseComplete(CloseComplete::new()));
+                Ok(())
+            }
+            Frontend::Terminate(_) => return None,
+            _ => Err(Failure::Sql("0A000", "message is not supported".to_owned())),
+        };
+        if let Err(failure) = result {
+            self.fail(failure);
+            self.skip_to_sync = true;
+        }
+        Some(())
+    }
+
+    async fn query(&mut self, sql: &str) {
+        let statements = engine::split(&self.connection, sql);
+        if statements.iter().all(|statement| statement.is_empty()) {
+            return self.put(&Backend::EmptyQueryResponse(EmptyQueryResponse::new()));
+        }
+        let implicit = statements.len() > 1 && self.transaction == TransactionStatus::Idle;
+        if implicit && let Err(failure) = self.begin("BEGIN").await {
+            return self.fail(failure);
+        }
+        for statement in statements {
+            match self.statement(&statement, &[]).await {
+                Ok(rows) => self.put_result(&statement, &rows, &[], true),
+                Err(failure) => {
+                    self.fail(failure);
+                    if implicit {
+                        self.roll_back();
+                    }
+                    return;
+                }
+            }
+        }
+        if implicit
+            && self.transaction == TransactionStatus::Transaction
+            && let Err(failure) = self.commit().await
+        {
+            self.fail(failure);
+        }
+    }
+
+    fn parse(&mut self, name: String, sql: String, given: &[u32]) -> Result<(), Failure> {
+        let sql = sql.trim().trim_end_matches(';').to_owned();
+        let types = if command(&sql).is_some() || is_order(&sql) {
+            Vec::new()
+        } else {
+            let count = engine::parameter_count(&self.connection, &sql)?;
+            infer::parameter_types(&self.connection, &sql, given, count)
+        };
+        self.prepared.insert(name, Prepared { sql, types });
+        self.put(&Backend::ParseComplete(ParseComplete::new()));
+        Ok(())
+    }
+
+    fn bind(&mut self, bind: Bind) -> Result<(), Failure> {
+        let prepared = self.find(&bind.statement_name.unwrap_or_default())?;
+        let formats = &bind.parameter_format_codes;
+        let format = |index: usize| formats.get(index).or(formats.first()).copied().unwrap_or(0);
+        let parameter = |(index, bytes): (usize, &Option<Bytes>)| {
+            let type_id = prepared.types.get(index).copied().unwrap_or(types::TEXT);
+            types::parameter(bytes.as_ref(), type_id, format(index))
+        };
+        let parameters = bind.parameters.iter().enumerate().map(parameter).collect();
+        let formats = bind.result_column_format_codes;
+        let portal = Portal { sql: prepared.sql, parameters, formats };
+        self.portals.insert(bind.portal_name.unwrap_or_default(), portal);
+        self.put(&Backend::BindComplete(BindComplete::new()));
+        Ok(())
+    }
+
+    fn describe_statement(&mut self, name: &str) -> Result<(), Failure> {
+        let prepared = self.find(name)?;
+        self.put(&Backend::ParameterDescription(ParameterDescription::new(prepared.types)));
+        self.put_description(&prepared.sql, &[])
+    }
+
+    fn describe_portal(&mut self, name: &str) -> Result<(), Failure> {
+        let Some(portal) = self.portals.get(name) else {
+            return Err(Failure::Sql("34000", format!("portal {name} does not exist")));
+        };
+        let (sql, formats) = (portal.sql.clone(), portal.formats.clone());
+        self.put_description(&sql, &formats)
+    }
+
+    async fn execute(&mut self, name: &str) -> Result<(), Failure> {
+        let Some(portal) = self.portals.remove(name) else {
+            return Err(Failure::Sql("34000", format!("portal {name} does not exist")));
+        };
+        let rows = self.statement(&portal.sql, &portal.parameters).await?;
+        self.put_result(&portal.sql, &rows, &portal.formats, false);
+        Ok(())
+    }
+
+    fn find(&self, name: &str) -> Result<Prepared, Failure> {
+        let missing = || Failure::Sql("26000", format!("statement {name} does not exist"));
+        self.prepared.get(name).cloned().ok_or_else(missing)
+    }
+
+    async fn statement(&mut self, sql: &str, parameters: &[Value]) -> Result<Rows, Failure> {
+        let service = {
+            let mut server = self.server().borrow_mut();
+            server.statements += 1;
+            server.latency.service
+        };
+        if is_order(sql) {
+            return self.order(sql);
+        }
+        pause(service).await;
+        match command(sql) {
+            Some(Command::Begin) => self.begin(sql).await.map(|()| Rows::default()),
+            Some(Command::Commit) => self.commit().await.map(|()| Rows::default()),
+            Some(Command::Rollback) => {
+                self.roll_back();
+                Ok(Rows::default())
+            }
+            None if self.transaction == TransactionStatus::Error => {
+                let text = "current transaction is aborted, commands ignored until end of block";
+                Err(Failure::Sql("25P02", text.to_owned()))
+            }
+            None => self.run(sql, parameters).await,
+        }
+    }
+
+    async fn run(&mut self, sql: &str, parameters: &[Value]) -> Result<Rows, Failure> {
+        let (_, reads) = engine::describe(&self.connection, sql)?;
+        for _ in 0..LOCK_TRIES {
+            if !reads && !self.server().borrow().is_primary() {
+                return Err(read_only());
+            }
+            match engine::run(&self.connection, sql, parameters) {
+                Err(Failure::Busy) => compio::time::sleep(LOCK_RETRY).await,
+                Ok(rows) if reads => return Ok(rows),
+                Ok(rows) => {
+                    let parameters = parameters.to_vec();
+                    self.logged.push(Logged { sql: sql.to_owned(), parameters });
+                    if self.transaction == TransactionStatus::Idle {
+                        self.append();
+                    }
+                    return Ok(rows);
+                }
+                Err(failure) => return Err(failure),
+            }
+        }
+        Err(Failure::Sql("55P03", "lock was not available in time".to_owned()))
+    }
+
+    async fn begin(&mut self, sql: &str) -> Result<(), Failure> {
+        if self.transaction != TransactionStatus::Idle {
+            return Ok(());
+        }
+        let read_only = sql.to_uppercase().contains("READ ONLY");
+        let writes = self.server().borrow().is_primary() && !read_only;
+        self.control(if writes { "BEGIN IMMEDIATE" } else { "BEGIN" }).await?;
+        self.transaction = TransactionStatus::Transaction;
+        Ok(())
+    }
+
+    async fn commit(&mut self) -> Result<(), Failure> {
+        if self.transaction != TransactionStatus::Transaction {
+            self.roll_back();
+            return Ok(());
+        }
+        for _ in 0..LOCK_TRIES {
+            if !self.logged.is_empty() && !self.server().borrow().is_primary() {
+                self.roll_back();
+                return Err(read_only());
+            }
+            match self.connection.execute_batch("COMMIT") {
+                Ok(()) => {
+                    self.transaction = TransactionStatus::Idle;
+                    self.append();
+                    return Ok(());
+                }
+                Err(_) => compio::time::sleep(LOCK_RETRY).await,
+            }
+        }
+        self.roll_back();
+        Err(Failure::Sql("40001", "transaction met a lock".to_owned()))
+    }
+
+    async fn control(&mut self, sql: &str) -> Result<(), Failure> {
+        for _ in 0..LOCK_TRIES {
+            match self.connection.execute_batch(sql) {
+                Ok(()) => return Ok(()),
+                Err(_) => compio::time::sleep(LOCK_RETRY).await,
+            }
+        }
+        Err(Failure::Sql("55P03", "lock was not available in time".to_owned()))
+    }
+
+    fn roll_back(&mut self) {
+        if self.transaction != TransactionStatus::Idle {
+            // SQLite may have ended the transaction by itself.
+            let _ = self.connection.execute_batch("ROLLBACK");
+        }
+        self.transaction = TransactionStatus::Idle;
+        self.logged.clear();
+    }
+
+    fn append(&mut self) {
+        let statements = std::mem::take(&mut self.logged);
+        if !statements.is_empty() {
+            self.server().borrow_mut().append(statements);
+        }
+    }
+
+    fn order(&mut self, sql: &str) -> Result<Rows, Failure> {
+        let refused = |text: String| Failure::Sql("55000", text);
+        let numbers = order_arguments(sql);
+        let name = sql.split('(').next().unwrap_or_default().trim();
+        match (name, &numbers[..]) {
+            ("SELECT platform_status", []) => {}
+            ("SELECT platform_close_term", [term]) => self.server().borrow_mut().close_term(*term),
+            ("SELECT platform_promote", [term]) => {
+                self.server().borrow_mut().promote(*term).map_err(refused)?;
+            }
+            ("SELECT platform_follow", [term, primary]) => {
+                let primary = usize::try_from(*primary).unwrap_or(usize::MAX);
+                follow(&self.servers, self.index, *term, primary).map_err(refused)?;
+            }
+            _ => return Err(Failure::Sql("42883", format!("no such function: {sql}"))),
+        }
+        let status = self.server().borrow().status();
+        let json = serde_json::to_string(&status).unwrap_or_default();
+        let column = engine::Column { name: "status".to_owned(), declared: None };
+        let rows = vec![vec![Value::Text(json)]];
+        Ok(Rows { columns: vec![column], rows, changes: 0 })
+    }
+
+    fn put_description(&mut self, sql: &str, formats: &[i16]) -> Result<(), Failure> {
+        let columns = match command(sql) {
+            Some(_) => Vec::new(),
+            None => engine::describe(&self.connection, sql)?.0,
+        };
+        if columns.is_empty() {
+            self.put(&Backend::NoData(NoData::new()));
+        } else {
+            self.put_fields(&columns, formats);
+        }
+        Ok(())
+    }
+
+    fn put_fields(&mut self, columns: &[engine::Column], formats: &[i16]) {
+        let field = |(index, column)| types::field(column, format_of(formats, index));
+        let fields = columns.iter().enumerate().map(field).collect();
+        self.put(&Backend::RowDescription(RowDescription::new(fields)));
+    }
+
+    fn put_result(&mut self, sql: &str, rows: &Rows, formats: &[i16], with_description: bool) {
+        if with_description && !rows.columns.is_empty() {
+            self.put_fields(&rows.columns, formats);
+        }
+        let types: Vec<u32> = rows.columns.iter().map(types::column_type).collect();
+        for row in &rows.rows {
+            let mut data = BytesMut::new();
+            for (index, value) in row.iter().enumerate() {
+                types::put(value, types[index], format_of(formats, index), &mut data);
+            }
+            let count = i16::try_from(row.len()).unwrap_or(i16::MAX);
+            self.put(&Backend::DataRow(DataRow::new(data, count)));
+        }
+        let tag = tag(sql, rows);
+        self.put(&Backend::CommandComplete(CommandComplete::new(tag)));
+    }
+
+    fn fail(&mut self, failure: Failure) {
+        if self.transaction == TransactionStatus::Transaction {
+            self.transaction = TransactionStatus::Error;
+        }
+        let (sqlstate, text) = match failure {
+            Failure::Busy => ("55P03", "lock was not available".to_owned()),
+            Failure::Sql(sqlstate, text) => (sqlstate, text),
+        };
+        self.put(&message::error("ERROR", sqlstate, &text, None));
+    }
+
+    fn put_ready(&mut self) {
+        self.put(&Backend::ReadyForQuery(ReadyForQuery::new(self.transaction)));
+    }
+
+    fn put(&mut self, message: &Backend) {
+        message::put(message, &mut self.output).expect("answers are within the protocol's limits");
+    }
+
+    fn server(&self) -> &Rc<RefCell<Server>> {
+        &self.servers[self.index]
+    }
+}
+
+enum Command {
+    Begin,
+    Commit,
+    Rollback,
+}
+
+fn command(sql: &str) -> Option<Command> {
+    let upper = sql.trim().to_uppercase();
+    match upper.split_whitespace().next()? {
+        "BEGIN" | "START" => Some(Command::Begin),
+        "COMMIT" | "END" => Some(Command::Commit),
+        "ROLLBACK" | "ABORT" if !upper.contains(" TO ") => Some(Command::Rollback),
+        _ => None,
+    }
+}
+
+fn is_order(sql: &str) -> bool {
+    sql.starts_with("SELECT platform_")
+}
+
+fn order_arguments(sql: &str) -> Vec<u64> {
+    let inside = sql.split(['(', ')']).nth(1).unwrap_or_default();
+    inside.split(',').filter_map(|number| number.trim().parse().ok()).collect()
+}
+
+fn read_only() -> Failure {
+    let text = "cannot write in a read-only transaction: endpoint is a replica";
+    Failure::Sql("25006", text.to_owned())
+}
+
+fn format_of(formats: &[i16], index: usize) -> i16 {
+    match formats {
+        [] => 0,
+        [format] => *format,
+        many => many.get(index).copied().unwrap_or(0),
+    }
+}
+
+fn tag(sql: &str, rows: &Rows) -> String {
+    let verb = sql.split_whitespace().next().unwrap_or_default().to_uppercase();
+    match verb.as_str() {
+        "SELECT" | "WITH" | "VALUES" => format!("SELECT {}", rows.rows.len()),
+        "INSERT" => format!("INSERT 0 {}", rows.changes),
+        "UPDATE" | "DELETE" => format!("{verb} {}", rows.changes),
+        "CREATE" | "DROP" | "ALTER" => {
+            let words: Vec<&str> = sql.split_whitespace().take(2).collect();
+            words.join(" ").to_uppercase()
+        }
+        "START" => "BEGIN".to_owned(),
+        "END" => "COMMIT".to_owned(),
+        "ABORT" => "ROLLBACK".to_owned(),
+        _ => verb,
+    }
+}
