Judge generated histories by a naive version of the system

Cause: the promises were only checked on quiet paths. tests/history runs two owners of one database with fake endpoints and platform through crashes, cuts, lag, pauses, outages, lost answers and leaving endpoints, and compares every result with one copy of the data that never fails.

An owner that sees more than 1 s pass without a step now reads the group object before it starts anything.

Ruled out: event order in the fake alone; the node applied a group read before its list of leaving endpoints too, which is mended here.

--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -236,8 +236,8 @@
             }
             Message::Ran(ticket, run) => self.ran(ticket, run),
             Message::Group(event, leaving) => {
-                self.step(event);
                 self.set_leaving(leaving);
+                self.step(event);
             }
             Message::Service(service) => self.configure(service),
             Message::Retire(retired) => {
--- a/crates/policy/src/owner/endpoint.rs
+++ b/crates/policy/src/owner/endpoint.rs
@@ -77,7 +77,7 @@
 
     /// Takes in the answer to a probe.
     pub(super) fn probed(&mut self, now: Duration, status: Option<Status>) {
-        let asked = self.outstanding.take().unwrap_or(now);
+        let asked = self.outstanding.take().unwrap_or(self.asked);
         let Some(status) = status else {
             self.misses += 1;
             let repeat = MISS_RETRY.saturating_mul(self.misses - 1).min(MISS_RETRY_CAP);
--- a/crates/policy/src/owner/mod.rs
+++ b/crates/policy/src/owner/mod.rs
@@ -28,6 +28,8 @@
 use crate::retry::Budget;
 use crate::session::Freshness;
 
+/// Time without a step after which the process is taken to have been stopped and continued.
+const PAUSE_LIMIT: Duration = Duration::from_secs(1);
 /// Misses of the primary that raise suspicion.
 const SUSPECT_MISSES: u32 = 2;
 /// Times a read is started again after its endpoint failed.
@@ -237,6 +239,7 @@
     asked_group: bool,
     catching_up: bool,
     retired: bool,
+    unconfirmed: bool,
     retries: Budget,
     counters: Counters,
     now: Duration,
@@ -261,6 +264,7 @@
             asked_group: false,
             catching_up: false,
             retired: false,
+            unconfirmed: false,
             retries: Budget::new(0.1, 10.0),
             counters: Counters::default(),
             now: Duration::ZERO,
@@ -271,6 +275,9 @@
 
     /// Handles `event` at `now` and returns what is to be done, in order.
     pub fn step(&mut self, now: Duration, event: Event) -> Vec<Action> {
+        if now > self.now + PAUSE_LIMIT {
+            self.resume();
+        }
         self.now = self.now.max(now);
         self.handle(event);
         self.tick_failover();
@@ -342,6 +349,14 @@
         self.queue.is_empty() && self.running.is_empty() && self.pinned.is_empty()
     }
 
+    /// Asks for the group again before anything is started: what was known may be old.
+    fn resume(&mut self) {
+        self.unconfirmed = self.group().is_some();
+        self.asked_group = false;
+        self.endpoints.iter_mut().for_each(Endpoint::probe_now);
+        self.read_group();
+    }
+
     fn handle(&mut self, event: Event) {
         match event {
             Event::Tick => {}
@@ -650,6 +665,7 @@
 
     fn group_read(&mut self, result: Result<Group, GroupError>) {
         self.asked_group = false;
+        self.unconfirmed = false;
         let before = self.group().map(|group| group.term);
         let actions = self.failover.group_read(self.now, result);
         self.actions.extend(actions);
@@ -786,6 +802,9 @@
     }
 
     fn place(&mut self) {
+        if self.unconfirmed {
+            return;
+        }
         let mut queue = std::mem::replace(&mut self.queue, Queue::new(0));
         let mut demand = Demand::new(self.endpoints.len());
         loop {
--- /dev/null
+++ b/crates/policy/tests/history/world.rs
@@ -0,0 +1,632 @@
+//! Two owners of one database, their endpoints, the platform and callers on one clock.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tamarackbend_policy::owner::{
+    Action, ConnectionId, Event, Finish, Guards, Kind, OpenError, Owner, Request, SessionId,
+    Settings, StatementId, Ticket, Verdict,
+};
+use tamarackbend_policy::position::{EndpointIndex, Role};
+use tamarackbend_policy::session::Session;
+
+use crate::fakes::{Endpoint, Open, Platform, RowId, follow, replicate};
+
+pub const ENDPOINTS: usize = 3;
+pub const OWNERS: usize = 2;
+const CALLERS: usize = 4;
+const SLOTS: usize = 2;
+const DATABASE: &str = "database";
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+const STATEMENT_TIMEOUT: Duration = Duration::from_millis(400);
+const TICK: Duration = Duration::from_millis(5);
+
+/// Fault of one history.
+#[derive(Clone, Copy, Debug)]
+pub enum Fault {
+    Crash(EndpointIndex),
+    /// Cuts an endpoint off from its peers, not from owners.
+    Isolate(EndpointIndex),
+    Lag(EndpointIndex, Duration),
+    /// Cuts an owner off from an endpoint.
+    Cut(usize, EndpointIndex),
+    /// Stops an owner as SIGSTOP does.
+    Pause(usize),
+    Outage,
+    LoseAnswers(u32),
+    Leave(EndpointIndex),
+}
+
+/// What a caller asks for.
+#[derive(Clone, Debug)]
+enum Work {
+    Write(Vec<RowId>),
+    Read,
+    /// Statements of a transaction, in order.
+    Begin,
+    InTransaction(RowId),
+    Commit(Vec<RowId>),
+}
+
+/// Statement that waits for its verdict.
+struct Asked {
+    caller: usize,
+    work: Work,
+    result: Vec<RowId>,
+}
+
+struct Caller {
+    id: SessionId,
+    number: StatementId,
+    session: Session,
+    owner: usize,
+    transaction: Option<(usize, Vec<RowId>)>,
+    acknowledged: BTreeSet<RowId>,
+    busy: Option<(usize, Ticket)>,
+}
+
+/// What the history is judged by.
+#[derive(Default)]
+pub struct Record {
+    pub acknowledged: BTreeSet<RowId>,
+    pub not_run: BTreeSet<RowId>,
+    pub unknown: BTreeSet<RowId>,
+    pub violations: BTreeSet<String>,
+    pub reads: u64,
+    pub promotions: u64,
+}
+
+enum Item {
+    Owner(usize, Event),
+    Arrive { owner: usize, ticket: Ticket, connection: ConnectionId },
+    Control { owner: usize, action: Action },
+    Step(usize),
+    Fault(Fault, bool),
+    Tick,
+}
+
+pub struct World {
+    pub record: Record,
+    pub endpoints: Vec<Endpoint>,
+    pub platform: Platform,
+    random: ChaCha8Rng,
+    now: Duration,
+    heap: BinaryHeap<Reverse<(Duration, u64)>>,
+    items: BTreeMap<u64, Item>,
+    sequence: u64,
+    owners: Vec<Owner>,
+    paused: [bool; OWNERS],
+    cut: BTreeSet<(usize, EndpointIndex)>,
+    connections: BTreeMap<(usize, ConnectionId), (EndpointIndex, u64)>,
+    asked: BTreeMap<(usize, Ticket), Asked>,
+    callers: Vec<Caller>,
+    next_ticket: Ticket,
+    next_row: RowId,
+    next_session: SessionId,
+    stopping: bool,
+    left: BTreeMap<EndpointIndex, Duration>,
+}
+
+impl World {
+    pub fn new(seed: u64, guards: Guards) -> World {
+        let owner = |index: usize| {
+            Owner::new(Settings {
+                endpoints: ENDPOINTS,
+                slots: SLOTS,
+                seed: seed ^ index as u64,
+                confirm_timeout: Duration::from_secs(1),
+                guards,
+                ..Settings::default()
+            })
+        };
+        let mut world = World {
+            record: Record::default(),
+            endpoints: (0..ENDPOINTS).map(Endpoint::new).collect(),
+            platform: Platform::new(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+            now: Duration::from_millis(1),
+            heap: BinaryHeap::new(),
+            items: BTreeMap::new(),
+            sequence: 0,
+            owners: (0..OWNERS).map(owner).collect(),
+            paused: [false; OWNERS],
+            cut: BTreeSet::new(),
+            connections: BTreeMap::new(),
+            asked: BTreeMap::new(),
+            callers: Vec::new(),
+            next_ticket: 1,
+            next_row: 1,
+            next_session: 1,
+            stopping: false,
+            left: BTreeMap::new(),
+        };
+        for caller in 0..CALLERS {
+            let id = world.new_session();
+            world.callers.push(Caller {
+                id,
+                number: 0,
+                session: Session::new(),
+                owner: 0,
+                transaction: None,
+                acknowledged: BTreeSet::new(),
+                busy: None,
+            });
+            world.after(Duration::from_millis(50), Item::Step(caller));
+        }
+        world.after(TICK, Item::Tick);
+        world
+    }
+
+    /// Lets a fault begin at `at` and end after `length`.
+    pub fn plan(&mut self, at: Duration, length: Duration, fault: Fault) {
+        self.after(at, Item::Fault(fault, true));
+        self.after(at + length, Item::Fault(fault, false));
+    }
+
+    /// Runs until `end`; callers that are still waiting by then are not judged.
+    pub fn run(&mut self, end: Duration) {
+        while let Some(Reverse((at, sequence))) = self.heap.pop() {
+            if at > end {
+                self.heap.push(Reverse((at, sequence)));
+                self.now = end;
+                return;
+            }
+            self.now = self.now.max(at);
+            if let Some(item) = self.items.remove(&sequence) {
+                self.handle(item);
+            }
+        }
+    }
+
+    /// Ends the load and lets everything settle.
+    pub fn settle(&mut self) {
+        self.stopping = true;
+        self.run(self.now + Duration::from_secs(15));
+    }
+
+    pub fn primary(&self) -> Option<&Endpoint> {
+        self.platform.group.primary.map(|primary| &self.endpoints[primary])
+    }
+
+    fn violate(&mut self, promise: &str) {
+        self.record.violations.insert(promise.to_owned());
+    }
+
+    fn after(&mut self, delay: Duration, item: Item) {
+        self.sequence += 1;
+        self.items.insert(self.sequence, item);
+        self.heap.push(Reverse((self.now + delay, self.sequence)));
+    }
+
+    fn hop(&mut self) -> Duration {
+        Duration::from_micros(self.random.random_range(200..8000))
+    }
+
+    fn new_session(&mut self) -> SessionId {
+        self.next_session += 1;
+        self.next_session
+    }
+
+    fn handle(&mut self, item: Item) {
+        match item {
+            Item::Owner(owner, event) if self.paused[owner] => {
+                self.after(TICK, Item::Owner(owner, event));
+            }
+            Item::Owner(owner, event) => self.step_owner(owner, event),
+            Item::Arrive { owner, ticket, connection } => self.execute(owner, ticket, connection),
+            Item::Control { owner, action } => self.control(owner, action),
+            Item::Step(caller) => self.step_caller(caller),
+            Item::Fault(fault, begins) => self.apply(fault, begins),
+            Item::Tick => self.tick(),
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.now;
+        replicate(&mut self.endpoints, now);
+        for owner in 0..OWNERS {
+            if !self.paused[owner] {
+                self.step_owner(owner, Event::Tick);
+            }
+        }
+        self.after(TICK, Item::Tick);
+    }
+
+    fn apply(&mut self, fault: Fault, begins: bool) {
+        match fault {
+            Fault::Crash(endpoint) => {
+                self.endpoints[endpoint].crashed = begins;
+                self.endpoints[endpoint].status.incarnation += 1;
+                self.endpoints[endpoint].drop_connections();
+            }
+            Fault::Isolate(endpoint) => self.endpoints[endpoint].isolated = begins,
+            Fault::Lag(endpoint, lag) => {
+                let normal = Duration::from_millis(10);
+                self.endpoints[endpoint].lag = if begins { lag } else { normal };
+            }
+            Fault::Cut(owner, endpoint) => {
+                if begins {
+                    self.cut.insert((owner, endpoint));
+                } else {
+                    self.cut.remove(&(owner, endpoint));
+                }
+            }
+            Fault::Pause(owner) => self.paused[owner] = begins,
+            Fault::Outage => self.platform.outage = begins,
+            Fault::LoseAnswers(count) => {
+                self.platform.lose_answers = if begins { count } else { 0 }
+            }
+            Fault::Leave(endpoint) => {
+                if begins {
+                    self.left.insert(endpoint, self.now);
+                } else {
+                    self.left.remove(&endpoint);
+                }
+                for owner in 0..OWNERS {
+                    self.after(
+                        Duration::ZERO,
+                        Item::Owner(owner, Event::Leaving(endpoint, begins)),
+                    );
+                }
+            }
+        }
+    }
+
+    fn reaches(&self, owner: usize, endpoint: EndpointIndex) -> bool {
+        !self.endpoints[endpoint].crashed && !self.cut.contains(&(owner, endpoint))
+    }
+
+    fn step_owner(&mut self, owner: usize, event: Event) {
+        let now = self.now;
+        for action in self.owners[owner].step(now, event) {
+            self.perform(owner, action);
+        }
+        let over = self.owners[owner].open_connections().into_iter().any(|open| open > SLOTS);
+        if over {
+            self.violate("slots");
+        }
+        self.record.promotions = self.owners.iter().map(|owner| owner.last_failover().0).sum();
+    }
+
+    fn perform(&mut self, owner: usize, action: Action) {
+        let delay = self.hop();
+        match action {
+            Action::Open(connection, endpoint) => {
+                let event = if self.reaches(owner, endpoint) {
+                    let generation = self.endpoints[endpoint].generation;
+                    self.connections.insert((owner, connection), (endpoint, generation));
+                    Event::Opened(connection)
+                } else {
+                    Event::OpenFailed(connection, OpenError::Unreachable)
+                };
+                self.after(delay * 2, Item::Owner(owner, event));
+            }
+            Action::Close(connection) => {
+                if let Some((endpoint, _)) = self.connections.remove(&(owner, connection)) {
+                    self.endpoints[endpoint].transactions.remove(&(owner, connection));
+                }
+            }
+            Action::Dispatch(ticket, connection) => {
+                self.check_leaving(owner, ticket, connection);
+                self.after(delay, Item::Arrive { owner, ticket, connection });
+            }
+            Action::Answer(ticket, verdict) => self.answered(owner, ticket, verdict),
+            Action::AskPeers => {
+                let primary = self.owners[owner].group().and_then(|group| group.primary);
+                let other = (owner + 1) % OWNERS;
+                let asked = primary.filter(|_| !self.paused[other]);
+                let denied = usize::from(asked.is_some_and(|p| self.reaches(other, p)));
+                self.after(delay * 3, Item::Owner(owner, Event::Opinions { denied }));
+            }
+            action => self.after(delay, Item::Control { owner, action }),
+        }
+    }
+
+    fn check_leaving(&mut self, owner: usize, ticket: Ticket, connection: ConnectionId) {
+        let Some((endpoint, _)) = self.connections.get(&(owner, connection)).copied() else {
+            return;
+        };
+        let grace = Duration::from_secs(3);
+        let late = self.left.get(&endpoint).is_some_and(|since| self.now > *since + grace);
+        let new = self
+            .asked
+            .get(&(owner, ticket))
+            .is_some_and(|asked| matches!(asked.work, Work::Write(_) | Work::Read | Work::Begin));
+        if late && new {
+            self.violate("leaving endpoint gets new work");
+        }
+    }
+
+    fn control(&mut self, owner: usize, action: Action) {
+        let delay = self.hop();
+        let now = self.now;
+        let (endpoint, event): (Option<EndpointIndex>, Event) = match action {
+            Action::ReadGroup => {
+                let result = self.platform.read();
+                if result.is_ok() {
+                    // The group object lists the endpoints that are leaving.
+                    for endpoint in 0..ENDPOINTS {
+                        let leaving = Event::Leaving(endpoint, self.left.contains_key(&endpoint));
+                        self.after(delay, Item::Owner(owner, leaving));
+                    }
+                }
+                (None, Event::GroupRead(result))
+            }
+            Action::UpdateGroup(group) => (None, Event::GroupWritten(self.platform.update(group))),
+            Action::Probe(endpoint) => {
+                let status = self.endpoints[endpoint].status;
+                (Some(endpoint), Event::Probed(endpoint, Some(status)))
+            }
+            Action::CloseTerm { endpoint, term } if self.reaches(owner, endpoint) => {
+                self.endpoints[endpoint].close_term(term);
+                let status = self.endpoints[endpoint].status;
+                (Some(endpoint), Event::Closed(endpoint, Some(status)))
+            }
+            Action::Promote { endpoint, term } if self.reaches(owner, endpoint) => {
+                let taken = self.endpoints[endpoint].promote(now, term);
+                let status = taken.then_some(self.endpoints[endpoint].status);
+                (Some(endpoint), Event::Promoted(status))
+            }
+            Action::Follow { endpoint, term, primary } => {
+                if self.reaches(owner, endpoint) {
+                    follow(&mut self.endpoints, endpoint, term, primary);
+                }
+                return;
+            }
+            Action::CloseTerm { endpoint, .. } => (Some(endpoint), Event::Closed(endpoint, None)),
+            Action::Promote { endpoint, .. } => (Some(endpoint), Event::Promoted(None)),
+            _ => return,
+        };
+        let lost = endpoint.is_some_and(|endpoint| !self.reaches(owner, endpoint));
+        let (delay, event) = match (lost, event) {
+            (true, Event::Probed(endpoint, _)) => (PROBE_TIMEOUT, Event::Probed(endpoint, None)),
+            (true, Event::Closed(endpoint, _)) => (PROBE_TIMEOUT, Event::Closed(endpoint, None)),
+            (true, Event::Promoted(_)) => (PROBE_TIMEOUT, Event::Promoted(None)),
+            (_, event) => (delay, event),
+        };
+        self.after(delay, Item::Owner(owner, event));
+    }
+
+    fn execute(&mut self, owner: usize, ticket: Ticket, connection: ConnectionId) {
+        let delay = self.hop();
+        let found = self.connections.get(&(owner, connection)).copied();
+        let Some((endpoint, generation)) = found else {
+            return self
+                .after(delay, Item::Owner(owner, Event::Finished(ticket, Finish::NeverSent)));
+        };
+        let usable =
+            self.reaches(owner, endpoint) && self.endpoints[endpoint].generation == generation;
+        if !usable {
+            return self.lose(owner, ticket, connection);
+        }
+        let finish = self.run_work(owner, ticket, connection, endpoint);
+        // The answer may be lost on its way back.
+        if self.random.random_bool(0.01) {
+            self.endpoints[endpoint].transactions.remove(&(owner, connection));
+            return self.lose(owner, ticket, connection);
+        }
+        self.after(delay, Item::Owner(owner, Event::Finished(ticket, finish)));
+    }
+
+    fn lose(&mut self, owner: usize, ticket: Ticket, connection: ConnectionId) {
+        self.connections.remove(&(owner, connection));
+        let event = Event::Finished(ticket, Finish::Lost);
+        self.after(STATEMENT_TIMEOUT, Item::Owner(owner, event));
+    }
+
+    fn run_work(
+        &mut self,
+        owner: usize,
+        ticket: Ticket,
+        connection: ConnectionId,
+        endpoint: EndpointIndex,
+    ) -> Finish {
+        let now = self.now;
+        let Some(asked) = self.asked.get_mut(&(owner, ticket)) else {
+            let status = Some(self.endpoints[endpoint].status);
+            return Finish::Done { status, in_transaction: false };
+        };
+        let session = self.callers[asked.caller].id;
+        let key = (owner, connection);
+        let server = &mut self.endpoints[endpoint];
+        let leads = server.status.role == Role::Primary;
+        let mut mixed = false;
+        let done = match &asked.work {
+            Work::Read => {
+                asked.result = server.rows();
+                true
+            }
+            Work::Write(rows) => {
+                if let Some(open) = server.transactions.get_mut(&key) {
+                    open.rows.extend(rows);
+                    open.sessions.push(session);
+                    mixed = open.sessions.iter().any(|other| *other != session);
+                } else if leads {
+                    server.append(now, rows.clone());
+                }
+                leads
+            }
+            Work::Begin => {
+                let open = Open { rows: Vec::new(), sessions: vec![session] };
+                mixed = server.transactions.insert(key, open).is_some();
+                leads
+            }
+            Work::InTransaction(row) => {
+                if let Some(open) = server.transactions.get_mut(&key) {
+                    open.rows.push(*row);
+                    open.sessions.push(session);
+                    mixed = open.sessions.iter().any(|other| *other != session);
+                }
+                true
+            }
+            Work::Commit(_) => {
+                let open = server.transactions.remove(&key).unwrap_or_default();
+                mixed = open.sessions.iter().any(|other| *other != session);
+                if leads {
+                    server.append(now, open.rows);
+                }
+                leads
+            }
+        };
+        let (status, in_transaction) =
+            (Some(server.status), server.transactions.contains_key(&key));
+        if mixed {
+            self.violate("transactions mix");
+        }
+        match done {
+            true => Finish::Done { status, in_transaction },
+            false => {
+                self.endpoints[endpoint].transactions.remove(&key);
+                Finish::NotPrimary
+            }
+        }
+    }
+
+    fn step_caller(&mut self, index: usize) {
+        if self.stopping || self.callers[index].busy.is_some() {
+            return;
+        }
+        let roll = self.random.random_range(0..100);
+        let roam = self.random.random_range(0..OWNERS);
+        let row = self.next_row;
+        let caller = &mut self.callers[index];
+        let work = match &mut caller.transaction {
+            Some((_, rows)) if rows.len() < 2 => {
+                self.next_row += 1;
+                rows.push(row);
+                Work::InTransaction(row)
+            }
+            Some((_, rows)) => Work::Commit(rows.clone()),
+            None if roll < 40 => {
+                self.next_row += 1;
+                Work::Write(vec![row])
+            }
+            None if roll < 50 => Work::Begin,
+            None => Work::Read,
+        };
+        if caller.transaction.is_none() {
+            caller.owner = roam;
+            if roll % 7 == 0 {
+                // A new connection that shows no token.
+                let (owner, old) = (caller.owner, caller.id);
+                caller.session = Session::new();
+                self.callers[index].id = self.new_session();
+                self.after(Duration::ZERO, Item::Owner(owner, Event::EndSession(old)));
+            }
+        }
+        self.ask(index, work);
+    }
+
+    fn ask(&mut self, index: usize, work: Work) {
+        let ticket = self.next_ticket;
+        self.next_ticket += 2;
+        let caller = &mut self.callers[index];
+        caller.number += 1;
+        let owner = caller.owner;
+        caller.busy = Some((owner, ticket));
+        let kind = if matches!(work, Work::Read) { Kind::Read } else { Kind::Write };
+        let request = Request {
+            ticket,
+            session: caller.id,
+            statement: caller.number,
+            club: format!("club-{}", index % 2),
+            kind,
+            freshness: caller.session.freshness(DATABASE),
+            max_age: None,
+            in_transaction: caller.transaction.is_some(),
+            deadline: self.now + Duration::from_secs(8),
+        };
+        let twice = self.random.random_bool(0.05);
+        self.asked
+            .insert((owner, ticket), Asked { caller: index, work: work.clone(), result: vec![] });
+        let delay = self.hop();
+        self.after(delay, Item::Owner(owner, Event::Submit(request.clone())));
+        if twice {
+            // A network that repeats a frame; nobody waits for the second answer.
+            let repeated = Request { ticket: ticket + 1, ..request };
+            self.asked.insert((owner, ticket + 1), Asked { caller: index, work, result: vec![] });
+            let delay = delay + self.hop();
+            self.after(delay, Item::Owner(owner, Event::Submit(repeated)));
+        }
+    }
+
+    fn answered(&mut self, owner: usize, ticket: Ticket, verdict: Verdict) {
+        let Some(asked) = self.asked.remove(&(owner, ticket)) else {
+            return self.violate("two answers");
+        };
+        let index = asked.caller;
+        if self.callers[index].busy != Some((owner, ticket)) {
+            return;
+        }
+        self.callers[index].busy = None;
+        match verdict {
+            Verdict::Deliver { floor, in_transaction } => {
+                if let Some(floor) = floor {
+                    self.callers[index].session.observe(DATABASE, floor);
+                }
+                self.delivered(index, &asked, in_transaction);
+            }
+            Verdict::NotRun { .. } => {
+                self.record.not_run.extend(rows_of(&asked.work));
+                self.drop_transaction(index, true);
+            }
+            Verdict::Unknown { .. } => {
+                self.record.unknown.extend(rows_of(&asked.work));
+                self.drop_transaction(index, false);
+            }
+        }
+        let pause = Duration::from_millis(self.random.random_range(1..60));
+        self.after(pause, Item::Step(index));
+    }
+
+    fn delivered(&mut self, index: usize, asked: &Asked, in_transaction: bool) {
+        let caller = &mut self.callers[index];
+        match &asked.work {
+            Work::Write(rows) | Work::Commit(rows) => {
+                caller.acknowledged.extend(rows);
+                caller.transaction = None;
+                self.record.acknowledged.extend(rows);
+            }
+            Work::Begin => caller.transaction = Some((caller.owner, Vec::new())),
+            Work::InTransaction(_) => {
+                if !in_transaction {
+                    caller.transaction = None;
+                }
+            }
+            Work::Read => {
+                self.record.reads += 1;
+                let seen: BTreeSet<RowId> = asked.result.iter().copied().collect();
+                if !caller.acknowledged.is_subset(&seen) {
+                    self.violate("read misses own write");
+                }
+                if !seen.is_disjoint(&self.record.not_run) {
+                    self.violate("read shows what was not run");
+                }
+            }
+        }
+    }
+
+    fn drop_transaction(&mut self, index: usize, not_run: bool) {
+        let caller = &mut self.callers[index];
+        let Some((owner, rows)) = caller.transaction.take() else {
+            return;
+        };
+        let old = caller.id;
+        let outcome = if not_run { &mut self.record.not_run } else { &mut self.record.unknown };
+        outcome.extend(rows);
+        let id = self.new_session();
+        self.callers[index].id = id;
+        self.after(Duration::ZERO, Item::Owner(owner, Event::EndSession(old)));
+    }
+}
+
+fn rows_of(work: &Work) -> Vec<RowId> {
+    match work {
+        Work::Write(rows) | Work::Commit(rows) => rows.clone(),
+        Work::InTransaction(row) => vec![*row],
+        Work::Read | Work::Begin => Vec::new(),
+    }
+}
