Measure scenarios with losses of primaries, and finish a change of primary

tamarackbend-load runs a scenario on a fleet in one process, records what callers saw, judges it and writes figures and a plot. Policies include the baselines primary-only, random-replica and asynchronous acknowledgement.

Cause of a fault it found: an owner's own watch of the group object repeats the claim it has just written; the failover took that for another promoter's and gave up, so no change of primary ever finished (term 11 after 15 s, refusals T2003). Ruled out: the promotion order (never sent) and the platform. A repeated version is now ignored while closing and promoting. The fake platform's updates now fire the owners' watches; without the change history 2 finds no primary again.

--- /dev/null
+++ b/crates/load/src/bin/tamarackbend-load.rs
@@ -0,0 +1,76 @@
+//! Load and experiments.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use tamarackbend_load::{Policy, Scenario, plot, run};
+
+/// Exit status of a run that broke a promise.
+const EXIT_VIOLATION: u8 = 3;
+
+/// Runs load and faults on a fleet in one process and measures it.
+#[derive(Parser)]
+#[command(name = "tamarackbend-load", version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run a scenario; exits with 3 when a promise was broken.
+    Run {
+        /// File with the scenario, in YAML.
+        #[arg(long, value_name = "FILE")]
+        scenario: PathBuf,
+        /// How the nodes decide: product, primary-only, random-replica or asynchronous.
+        #[arg(long, default_value = "product")]
+        policy: Policy,
+        /// Seed of the callers' choices.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// File for the figures.
+        #[arg(long, value_name = "OUT")]
+        json: PathBuf,
+        /// File for a plot, as SVG.
+        #[arg(long, value_name = "OUT.svg")]
+        plot: Option<PathBuf>,
+    },
+}
+
+fn main() -> ExitCode {
+    let filter = tracing_subscriber::EnvFilter::from_default_env();
+    tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).init();
+    match execute(Arguments::parse().command) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("tamarackbend-load: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn execute(command: Command) -> Result<ExitCode, Box<dyn std::error::Error>> {
+    let Command::Run { scenario, policy, seed, json, plot: plot_file } = command;
+    let scenario = Scenario::from_yaml(&std::fs::read_to_string(scenario)?)?;
+    let report = run(&scenario, policy, seed)?;
+    std::fs::write(json, serde_json::to_string_pretty(&report)?)?;
+    if let Some(file) = plot_file {
+        plot(&report, &file)?;
+    }
+    println!(
+        "{} {}: {} statements, replica reads {:.3} of {:.3}, gap median {:.0} ms max {:.0} ms, \
+         violations {:?}",
+        report.scenario,
+        report.policy,
+        report.statements,
+        report.replica_read_share,
+        report.replica_read_share_possible,
+        report.failover_gap_ms.median,
+        report.failover_gap_ms.max,
+        report.violations
+    );
+    let broken: u64 = report.violations.values().sum();
+    Ok(if broken > 0 { ExitCode::from(EXIT_VIOLATION) } else { ExitCode::SUCCESS })
+}
--- a/crates/load/src/error.rs
+++ b/crates/load/src/error.rs
@@ -17,6 +17,16 @@
     Config(tamarackbend_config::Error),
     /// L7004: node did not become ready
     NotReady,
+    /// L7005: scenario is not valid: {0}
+    Scenario(serde_saphyr::Error),
+    /// L7006: there is no deployment {0}
+    NoDeployment(String),
+    /// L7007: caller cannot do what the experiment needs: {0}
+    Caller(String),
+    /// L7008: cannot plot: {0}
+    Plot(String),
+    /// L7009: there is no policy {0}
+    NoPolicy(String),
 }
 
 /// Why an experiment failed.
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use tamarackbend_config::{Document, Settings};
-use tamarackbend_node::Node;
+use tamarackbend_node::{Node, Variant};
 use tamarackbend_platform::api::Vm;
 use tamarackbend_standin::deployment::{Deployment, Plan, publish};
 use tamarackbend_standin::endpoint::Group;
@@ -28,11 +28,17 @@
     pub plans: Vec<Plan>,
     /// Number of nodes.
     pub nodes: usize,
+    /// How the nodes decide.
+    pub variant: Variant,
 }
 
 impl Default for Layout {
     fn default() -> Layout {
-        Layout { plans: vec![Plan::amstelweide(), Plan::vukovic()], nodes: 3 }
+        Layout {
+            plans: vec![Plan::amstelweide(), Plan::vukovic()],
+            nodes: 3,
+            variant: Variant::default(),
+        }
     }
 }
 
@@ -42,6 +48,7 @@
     plans: Vec<Plan>,
     deployments: Vec<Deployment>,
     document: Document,
+    variant: Variant,
     nodes: Vec<Node>,
 }
 
@@ -60,8 +67,8 @@
         let documents: Vec<Document> =
             deployments.iter().map(|deployment| deployment.document.clone()).collect();
         let document = publish(&platform, &documents);
-        let plans = layout.plans;
-        let mut fleet = Fleet { platform, plans, deployments, document, nodes: Vec::new() };
+        let (plans, variant, nodes) = (layout.plans, layout.variant, Vec::new());
+        let mut fleet = Fleet { platform, plans, deployments, document, variant, nodes };
         for _ in 0..layout.nodes {
             fleet.add_node()?;
         }
@@ -82,7 +89,7 @@
         let domain = domains[index % domains.len()].name.clone();
         let vm = format!("entry-{}", index + 1);
         let settings = settings(&vm, &domain, self.platform.address())?;
-        let node = Node::start(settings)?;
+        let node = Node::start_with(settings, self.variant)?;
         let peer_address = node.addresses().peer;
         let vm = Vm { name: vm, failure_domain: domain, peer_address, leaving: false };
         self.platform.set_vm(vm);
@@ -165,6 +172,15 @@
     }
 }
 
+/// Returns the metrics of the process.
+///
+/// # Errors
+///
+/// Fails when the node does not answer.
+pub(crate) fn metrics(fleet: &Fleet) -> Result<String> {
+    Ok(http(fleet.nodes[0].addresses().admin, "GET", "/metrics")?)
+}
+
 fn settings(vm: &str, domain: &str, platform: SocketAddr) -> Result<Settings> {
     let text = format!(
         "vm: {vm}\nfailure_domain: {domain}\ncaller_address: 127.0.0.1:0\n\
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -11,8 +11,20 @@
 //! # Ok::<(), tamarackbend_load::Error>(())
 //! ```
 
+mod caller;
+mod check;
 mod error;
+mod faults;
 mod fleet;
+mod history;
+mod plot;
+mod report;
+mod run;
+mod scenario;
 
 pub use error::{Error, Result};
 pub use fleet::{ADMIN_TOKEN, Fleet, Layout};
+pub use plot::plot;
+pub use report::{Gap, Latency, Report};
+pub use run::{Policy, run};
+pub use scenario::{Fault, FaultKind, Rush, Scenario};
--- /dev/null
+++ b/crates/load/src/plot.rs
@@ -0,0 +1,44 @@
+//! Plot of a run over time.
+
+use plotters::prelude::{
+    BLUE, ChartBuilder, IntoDrawingArea, IntoFont, LineSeries, RED, SVGBackend, WHITE,
+};
+
+use crate::error::Code;
+use crate::{Error, Report, Result};
+
+const SIZE: (u32, u32) = (900, 360);
+
+/// Writes the acknowledged writes (red) and answered reads (blue) over time as SVG.
+///
+/// # Errors
+///
+/// Fails when the file cannot be written.
+pub fn plot(report: &Report, path: &std::path::Path) -> Result<()> {
+    draw(report, path).map_err(|error| Error::new(Code::Plot(error.to_string())))
+}
+
+fn draw(
+    report: &Report,
+    path: &std::path::Path,
+) -> std::result::Result<(), Box<dyn std::error::Error>> {
+    let area = SVGBackend::new(path, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let all = report.writes_by_100_ms.iter().chain(&report.reads_by_100_ms);
+    let highest = all.copied().max().unwrap_or(1).max(1) * 10;
+    let caption =
+        format!("{} with policy {}: statements per second", report.scenario, report.policy);
+    let mut chart = ChartBuilder::on(&area)
+        .caption(caption, ("sans-serif", 16).into_font())
+        .margin(10)
+        .x_label_area_size(30)
+        .y_label_area_size(50)
+        .build_cartesian_2d(0.0..report.seconds, 0..highest)?;
+    chart.configure_mesh().x_desc("seconds").draw()?;
+    for (counts, color) in [(&report.reads_by_100_ms, &BLUE), (&report.writes_by_100_ms, &RED)] {
+        let points = counts.iter().enumerate().map(|(at, n)| (at as f64 / 10.0, n * 10));
+        chart.draw_series(LineSeries::new(points, color))?;
+    }
+    area.present()?;
+    Ok(())
+}
--- a/crates/node/src/hub/mod.rs
+++ b/crates/node/src/hub/mod.rs
@@ -25,6 +25,7 @@
 use tamarackbend_wire::{Answer, Cancel, EndSession, Frame, Statement, frame::Body};
 use tracing::info;
 
+use crate::Variant;
 use crate::link::Link;
 use crate::{link, owner};
 
@@ -115,6 +116,7 @@
 /// State of the hub.
 pub(crate) struct Hub {
     settings: Settings,
+    variant: Variant,
     client: Client,
     sender: Sender,
     config: Arc<Config>,
@@ -140,12 +142,14 @@
 impl Hub {
     pub(crate) fn new(
         settings: Settings,
+        variant: Variant,
         client: Client,
         sender: Sender,
         drained: oneshot::Sender<()>,
     ) -> Hub {
         Hub {
             settings,
+            variant,
             client,
             sender,
             config: Arc::default(),
--- a/crates/node/src/hub/view.rs
+++ b/crates/node/src/hub/view.rs
@@ -71,6 +71,7 @@
                     .collect(),
                 answer_bytes: self.settings.limits.answer_bytes,
                 statement_timeout: self.settings.limits.statement_timeout,
+                variant: self.variant,
             };
             let handle = owner::start(setup, self.client.clone(), self.sender.clone());
             self.owners.insert(database.to_owned(), handle);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,4 +25,4 @@
 mod owner;
 
 pub use error::{Error, Result};
-pub use node::{Addresses, Node};
+pub use node::{Addresses, Node, Variant};
--- a/crates/node/src/link/mod.rs
+++ b/crates/node/src/link/mod.rs
@@ -172,15 +172,26 @@
     }
     loop {
         if !output.is_empty() {
-            metrics::counter!("tamarackbend_link_bytes_sent_total").increment(output.len() as u64);
             writer.send(&mut output).await.ok()?;
         }
-        codec.encode(queue.next().await?, &mut output).ok()?;
+        encode(&mut codec, queue.next().await?, &mut output)?;
         while output.len() < WRITE_BYTES {
             match queue.try_recv() {
-                Ok(frame) => codec.encode(frame, &mut output).ok()?,
+                Ok(frame) => encode(&mut codec, frame, &mut output)?,
                 Err(_) => break,
             }
         }
     }
 }
+
+fn encode(codec: &mut Codec, frame: Frame, output: &mut BytesMut) -> Option<()> {
+    let purpose = match frame.body {
+        Some(Body::Statement(_) | Body::Answer(_)) => "statements",
+        _ => "control",
+    };
+    let before = output.len();
+    codec.encode(frame, output).ok()?;
+    let bytes = (output.len() - before) as u64;
+    metrics::counter!("tamarackbend_link_bytes_sent_total", "purpose" => purpose).increment(bytes);
+    Some(())
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,6 +7,7 @@
 use futures_util::FutureExt;
 use tamarackbend_config::Settings;
 use tamarackbend_platform::Client;
+use tamarackbend_policy::owner::{Guards, Policy};
 
 use crate::error::Code;
 use crate::hub::{self, Hub};
@@ -23,6 +24,15 @@
     pub admin: SocketAddr,
 }
 
+/// Decisions of a baseline; the default is the product.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Variant {
+    /// How reads are placed.
+    pub policy: Policy,
+    /// Protections.
+    pub guards: Guards,
+}
+
 struct Listeners {
     caller: TcpListener,
     peer: TcpListener,
@@ -43,6 +53,15 @@
     ///
     /// Fails when an address cannot be used or no thread can be started.
     pub fn start(settings: Settings) -> Result<Node> {
+        Node::start_with(settings, Variant::default())
+    }
+
+    /// Starts a node that decides as `variant` says, to measure it against the product.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be used or no thread can be started.
+    pub fn start_with(settings: Settings, variant: Variant) -> Result<Node> {
         let listeners = Listeners {
             caller: listen("callers", settings.caller_address)?,
             peer: listen("peers", settings.peer_address)?,
@@ -59,7 +78,7 @@
             .name(settings.vm.clone())
             .spawn(move || {
                 let runtime = compio::runtime::Runtime::new().expect("a runtime can be created");
-                runtime.block_on(run(settings, listeners, sender, messages));
+                runtime.block_on(run(settings, variant, listeners, sender, messages));
             })
             .map_err(|error| Error::new(Code::Thread(error)))?;
         Ok(Node { addresses, hub, thread })
@@ -101,6 +120,7 @@
 
 async fn run(
     settings: Settings,
+    variant: Variant,
     listeners: Listeners,
     sender: mpsc::UnboundedSender<hub::Message>,
     messages: mpsc::UnboundedReceiver<hub::Message>,
@@ -117,7 +137,7 @@
     let accepting = compio::runtime::spawn(entry::accept(listeners.caller, context));
     let linking = compio::runtime::spawn(link::accept(listeners.peer, sender.clone()));
     let serving = compio::runtime::spawn(admin::serve(listeners.admin, sender.clone(), &settings));
-    let hub = Hub::new(settings, client, sender, draining);
+    let hub = Hub::new(settings, variant, client, sender, draining);
     hub.run(messages).await;
     drop((accepting, linking, serving, watching));
 }
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -23,12 +23,14 @@
 use tamarackbend_policy::owner::{
     Action, ConnectionId, Event, Finish, Kind, Limits, Owner, Request, Settings, Ticket, Verdict,
 };
-use tamarackbend_policy::position::{EndpointIndex, Floor};
+use tamarackbend_policy::position::{EndpointIndex, Floor, Term};
 use tamarackbend_policy::session::Freshness;
 use tamarackbend_postgres::message::TransactionStatus;
 use tamarackbend_postgres::{Answer as EndpointAnswer, Run};
 use tamarackbend_wire::{self as wire, Answer, Statement};
+use tracing::info;
 
+use crate::Variant;
 use crate::hub;
 use crate::owner::probe::Order;
 
@@ -72,6 +74,7 @@
     pub(crate) regions: Vec<String>,
     pub(crate) answer_bytes: usize,
     pub(crate) statement_timeout: Duration,
+    pub(crate) variant: Variant,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -249,9 +252,21 @@
 
     fn step(&mut self, event: Event) {
         let now = self.now();
+        let before = self.reign();
         for action in self.owner.step(now, event) {
             self.perform(action);
         }
+        let after = self.reign();
+        if before != after {
+            let (term, primary, phase) = after;
+            info!(database = self.name, term, primary, phase, "group has changed");
+        }
+    }
+
+    /// Returns the term, its primary and the step of a change of primary.
+    fn reign(&self) -> (Term, Option<EndpointIndex>, &'static str) {
+        let group = self.owner.group().unwrap_or_default();
+        (group.term, group.primary, self.owner.failover_phase())
     }
 
     fn submit(&mut self, statement: Statement) {
@@ -445,6 +460,8 @@
         idle_in_transaction: setup.service.idle_in_transaction,
         distances: setup.database.endpoints.iter().zip(&setup.regions).map(distance).collect(),
         seed: rand::random(),
+        policy: setup.variant.policy,
+        guards: setup.variant.guards,
         ..Settings::default()
     }
 }
--- a/crates/policy/src/failover.rs
+++ b/crates/policy/src/failover.rs
@@ -332,6 +332,8 @@
                 Vec::new()
             }
             Phase::Steady | Phase::Suspected => Vec::new(),
+            // A watch repeats what this node has written itself.
+            Phase::Closing { .. } | Phase::Promoting { .. } if unchanged => Vec::new(),
             _ => self.yield_to_other(now),
         }
     }
--- a/crates/policy/src/owner/mod.rs
+++ b/crates/policy/src/owner/mod.rs
@@ -40,6 +40,8 @@
 const SAMPLE_SPACING: Duration = Duration::from_millis(50);
 /// Least time between two attempts to open a connection to an endpoint that refused one.
 const OPEN_BACKOFF: Duration = Duration::from_millis(100);
+/// When a statement is worth another attempt that found no endpoint to run on.
+const RECOVERY_RETRY: Duration = Duration::from_secs(1);
 /// Time between two orders to an endpoint to take up its part.
 const ORDER_SPACING: Duration = Duration::from_millis(500);
 
@@ -1049,8 +1051,11 @@
         self.counters.not_run += 1;
         let waiting = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
         let slots = u32::try_from(self.settings.slots.max(1)).unwrap_or(1);
-        let retry_after = self.queue.cost().saturating_mul(waiting) / slots;
-        let verdict = Verdict::NotRun { code, retry_after: retry_after + self.queue.cost() };
+        let retry_after = match code {
+            Code::NoPrimary | Code::NoFreshEndpoint => RECOVERY_RETRY,
+            _ => self.queue.cost().saturating_mul(waiting) / slots + self.queue.cost(),
+        };
+        let verdict = Verdict::NotRun { code, retry_after };
         self.answer(ticket, verdict);
     }
 
--- a/crates/policy/tests/history/world.rs
+++ b/crates/policy/tests/history/world.rs
@@ -355,7 +355,14 @@
                 }
                 (None, Event::GroupRead(result))
             }
-            Action::UpdateGroup(group) => (None, Event::GroupWritten(self.platform.update(group))),
+            Action::UpdateGroup(group) => {
+                let before = self.platform.group.version;
+                let result = self.platform.update(group);
+                if self.platform.group.version > before {
+                    self.notify_watches();
+                }
+                (None, Event::GroupWritten(result))
+            }
             Action::Probe(endpoint) => {
                 let status = self.endpoints[endpoint].status;
                 (Some(endpoint), Event::Probed(endpoint, Some(status)))
@@ -390,6 +397,15 @@
         self.after(delay, Item::Owner(owner, event));
     }
 
+    /// Lets every owner's watch of the group object fire.
+    fn notify_watches(&mut self) {
+        let seen = self.platform.group;
+        for owner in 0..OWNERS {
+            let delay = self.hop();
+            self.after(delay, Item::Owner(owner, Event::GroupRead(Ok(seen))));
+        }
+    }
+
     fn execute(&mut self, owner: usize, ticket: Ticket, connection: ConnectionId) {
         let delay = self.hop();
         let found = self.connections.get(&(owner, connection)).copied();
--- a/crates/policy/tests/regression_unknown_begin.rs
+++ b/crates/policy/tests/regression_unknown_begin.rs
@@ -12,7 +12,15 @@
 const NOW: Duration = Duration::from_millis(10);
 
 fn status(role: Role) -> Status {
-    Status { role, closed_term: 1, term: 1, log_term: 1, term_start: 0, position: 5, incarnation: 1 }
+    Status {
+        role,
+        closed_term: 1,
+        term: 1,
+        log_term: 1,
+        term_start: 0,
+        position: 5,
+        incarnation: 1,
+    }
 }
 
 fn owner() -> Owner {
