Classify by visiting every part of a statement, and end failed transactions

Cause 1: a function in FROM, such as setval, was not looked at and could be sent to a replica as a read.

Cause 2: after a COMMIT with an unknown outcome the session stayed in a failed transaction, unlike an endpoint's own, and refused what followed with 25P02.

--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -49,6 +49,7 @@
     acknowledged: i64,
     /// Position that some replica held when the last write was acknowledged.
     held: u64,
+    error: Option<String>,
     operations: Vec<Operation>,
 }
 
@@ -66,6 +67,7 @@
             next: 1,
             acknowledged: 0,
             held: 0,
+            error: None,
             operations: Vec::new(),
         }
     }
@@ -196,9 +198,12 @@
             Err(error) => {
                 let Some(error) = error.as_db_error() else {
                     self.client = None;
+                    self.error = Some("connection lost".to_owned());
                     return Err(Outcome::Unknown);
                 };
                 let text = error.message();
+                let code = text.split(':').next().filter(|code| code.starts_with('T'));
+                self.error = Some(code.unwrap_or(error.code().code()).to_owned());
                 if text.starts_with("T2") || text.starts_with("T1") {
                     return Err(Outcome::NotRun);
                 }
@@ -238,6 +243,7 @@
             number,
             seen,
             outcome,
+            error: self.error.take(),
             start,
             end: self.shared.started.elapsed(),
             replica_possible,
--- a/crates/load/src/history.rs
+++ b/crates/load/src/history.rs
@@ -28,6 +28,8 @@
     /// Highest number that a read saw.
     pub(crate) seen: i64,
     pub(crate) outcome: Outcome,
+    /// Result code or SQLSTATE of the last error.
+    pub(crate) error: Option<String>,
     pub(crate) start: Duration,
     pub(crate) end: Duration,
     /// Whether a replica could have answered a read.
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -39,6 +39,8 @@
     pub refused_not_run: u64,
     /// Statements with an unknown outcome.
     pub outcome_unknown: u64,
+    /// Refusals and unknown outcomes by result code or SQLSTATE.
+    pub errors: BTreeMap<String, u64>,
     /// Share of the slot time by club.
     pub slot_time_share: BTreeMap<String, f64>,
     /// Latency of reads.
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -246,6 +246,7 @@
         statements: operations.len() as u64,
         refused_not_run: count(Outcome::NotRun),
         outcome_unknown: count(Outcome::Unknown),
+        errors: errors(operations),
         slot_time_share: BTreeMap::new(),
         read_latency_ms: latency(operations, Kind::Read),
         write_latency_ms: latency(operations, Kind::Write),
@@ -258,6 +259,14 @@
     }
 }
 
+fn errors(operations: &[Operation]) -> BTreeMap<String, u64> {
+    let mut errors = BTreeMap::new();
+    for error in operations.iter().filter_map(|operation| operation.error.clone()) {
+        *errors.entry(error).or_default() += 1;
+    }
+    errors
+}
+
 /// Counters of the whole fleet at one moment.
 #[derive(Default)]
 struct Snapshot {
--- a/crates/node/src/entry/batch.rs
+++ b/crates/node/src/entry/batch.rs
@@ -157,8 +157,9 @@
             Class::Read => 1,
             Class::Show { .. } | Class::Set { .. } => 2,
             Class::Begin { .. } => 3,
-            Class::Write => 4,
-            Class::Stateful => 5,
+            Class::End => 4,
+            Class::Write => 5,
+            Class::Stateful => 6,
         };
         if strength(class) > strength(&self.batch.class) {
             self.batch.class = class.clone();
--- a/crates/node/src/entry/session.rs
+++ b/crates/node/src/entry/session.rs
@@ -204,7 +204,7 @@
         added: &[bool],
     ) -> Option<bool> {
         if self.transaction == Transaction::Failed {
-            self.refuse_in_failed(&messages);
+            self.answer_failed(&class);
             return Some(true);
         }
         let shareable = !matches!(class, Class::Stateful | Class::Set { .. } | Class::Show { .. });
@@ -273,6 +273,9 @@
             let after = Duration::from_millis(answer.retry_after_ms);
             let hint = (answer.retry_after_ms > 0).then_some(after);
             reply::put_error(code, hint, &mut self.output);
+            if *class == Class::End {
+                self.transaction = Transaction::None;
+            }
             self.fail_transaction();
             self.put_ready();
             return true;
@@ -308,15 +311,8 @@
     }
 
     /// Answers a statement after the owner has lost the transaction: only its end is accepted.
-    fn refuse_in_failed(&mut self, messages: &BytesMut) {
-        let mut input = messages.clone();
-        let sql = match message::take_frontend(&mut input) {
-            Ok(Some(Frontend::Query(query))) => query.query,
-            Ok(Some(Frontend::Parse(parse))) => parse.query,
-            _ => String::new(),
-        };
-        let word = sql.split_whitespace().next().unwrap_or_default().to_uppercase();
-        if ["ROLLBACK", "COMMIT", "END", "ABORT"].contains(&word.trim_end_matches(';')) {
+    fn answer_failed(&mut self, class: &Class) {
+        if *class == Class::End {
             self.transaction = Transaction::None;
             reply::put_complete("ROLLBACK", &mut self.output);
         } else {
--- a/crates/sql/src/lib.rs
+++ b/crates/sql/src/lib.rs
@@ -16,8 +16,8 @@
 use std::time::Duration;
 
 use sqlparser::ast::{
-    Expr, Query, Set, SetExpr, Statement, TransactionAccessMode, TransactionMode,
-    visit_expressions, visit_statements,
+    Expr, Query, Set, SetExpr, Statement, TableFactor, TransactionAccessMode, TransactionMode,
+    Visit, Visitor,
 };
 use sqlparser::dialect::PostgreSqlDialect;
 use sqlparser::parser::Parser;
@@ -32,13 +32,15 @@
     Empty,
     /// Reads only.
     Read,
-    /// May write, or ends a transaction.
+    /// May write.
     Write,
     /// Begins a transaction.
     Begin {
         /// Whether the transaction is declared read-only.
         read_only: bool,
     },
+    /// Ends a transaction.
+    End,
     /// Sets a session parameter.
     Set {
         /// Lower-case name.
@@ -104,11 +106,12 @@
 
 fn class(statement: &Statement) -> Class {
     match statement {
-        Statement::Query(query) if reads_only(statement, query) => Class::Read,
+        Statement::Query(_) if reads_only(statement) => Class::Read,
         Statement::StartTransaction { modes, .. } => {
             let access = TransactionMode::AccessMode(TransactionAccessMode::ReadOnly);
             Class::Begin { read_only: modes.contains(&access) }
         }
+        Statement::Commit { .. } | Statement::Rollback { savepoint: None, .. } => Class::End,
         Statement::Set(set) => set_class(set),
         Statement::ShowVariable { variable } => {
             let names: Vec<String> =
@@ -144,42 +147,54 @@
     }
 }
 
-fn reads_only(statement: &Statement, query: &Query) -> bool {
-    if !query.locks.is_empty() || !is_plain(&query.body) {
-        return false;
+fn reads_only(statement: &Statement) -> bool {
+    statement.visit(&mut EffectFinder { statements: 0 }).is_continue()
+}
+
+/// Stops at the first part of a statement that may have an effect.
+struct EffectFinder {
+    statements: usize,
+}
+
+impl Visitor for EffectFinder {
+    type Break = ();
+
+    fn pre_visit_statement(&mut self, _: &Statement) -> ControlFlow<()> {
+        self.statements += 1;
+        stop_if(self.statements > 1)
+    }
+
+    fn pre_visit_query(&mut self, query: &Query) -> ControlFlow<()> {
+        stop_if(!query.locks.is_empty() || !is_plain(&query.body))
     }
-    let mut statements = 0;
-    let nested = visit_statements(statement, |_| {
-        statements += 1;
-        if statements > 1 {
-            return ControlFlow::Break(());
+
+    fn pre_visit_table_factor(&mut self, table: &TableFactor) -> ControlFlow<()> {
+        match table {
+            TableFactor::Table { name, args: Some(_), .. } | TableFactor::Function { name, .. } => {
+                stop_if(!functions::is_pure(&name.to_string()))
+            }
+            TableFactor::TableFunction { .. } => ControlFlow::Break(()),
+            _ => ControlFlow::Continue(()),
         }
-        ControlFlow::Continue(())
-    });
-    let calls = visit_expressions(statement, |expression| match expression {
-        Expr::Function(function) if !functions::is_pure(&function.name.to_string()) => {
-            ControlFlow::Break(())
+    }
+
+    fn pre_visit_expr(&mut self, expression: &Expr) -> ControlFlow<()> {
+        match expression {
+            Expr::Function(function) => stop_if(!functions::is_pure(&function.name.to_string())),
+            _ => ControlFlow::Continue(()),
         }
-        Expr::Subquery(query) if !query.locks.is_empty() => ControlFlow::Break(()),
-        _ => ControlFlow::Continue(()),
-    });
-    nested.is_continue() && calls.is_continue() && !locks_inside(&query.body)
+    }
+}
+
+fn stop_if(found: bool) -> ControlFlow<()> {
+    if found { ControlFlow::Break(()) } else { ControlFlow::Continue(()) }
 }
 
 fn is_plain(body: &SetExpr) -> bool {
     match body {
         SetExpr::Select(select) => select.into.is_none(),
-        SetExpr::Query(query) => query.locks.is_empty() && is_plain(&query.body),
         SetExpr::SetOperation { left, right, .. } => is_plain(left) && is_plain(right),
-        SetExpr::Values(_) | SetExpr::Table(_) => true,
+        SetExpr::Query(_) | SetExpr::Values(_) | SetExpr::Table(_) => true,
         _ => false,
     }
 }
-
-/// Returns whether the text form shows a row lock anywhere, such as in a derived table.
-fn locks_inside(body: &SetExpr) -> bool {
-    let text = body.to_string().to_uppercase();
-    [" FOR UPDATE", " FOR SHARE", " FOR NO KEY UPDATE", " FOR KEY SHARE"]
-        .iter()
-        .any(|lock| text.contains(lock))
-}
