--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -5,8 +5,10 @@
 
 use tamarackbend_load::{ADMIN_TOKEN, Fleet, Layout};
 
+use crate::error::Result;
+
 /// Runs the demo for `time`, or until the process is interrupted.
-pub(crate) fn run(time: Option<Duration>) -> Result<(), Box<dyn std::error::Error>> {
+pub(crate) fn run(time: Option<Duration>) -> Result<()> {
     let fleet = Fleet::start(Layout::default())?;
     let mut output = std::io::stdout().lock();
     for node in fleet.nodes() {
