Hand a database over with its queue when a node comes or goes

Cause: views of the fleet differ for up to two seconds after a node has come or gone, so two owners contended for two slots. The one that had given the database up closed its idle connections, got no others and kept its queue: single reads waited 2.3 to 15 s, others 0.8 s. A new node, not listed yet, thought itself the owner of everything.

Change: a node that is not listed owns nothing; a new owner dials the previous one, whose view takes it in at once; a statement that arrives at a node which no longer owns the database is passed on (at most two hops); a retired owner gives waiting statements back, and those go to the new owner without using up the retry budget.

--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -8,6 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 use tamarackbend_policy::position::Role;
 use tamarackbend_standin::endpoint::Group;
+use tokio_postgres::error::SqlState;
 use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
 
 use crate::Scenario;
@@ -31,6 +32,7 @@
 pub(crate) struct Identity {
     pub(crate) index: usize,
     pub(crate) club: String,
+    pub(crate) club_index: usize,
     pub(crate) password: String,
     pub(crate) database: usize,
     pub(crate) database_name: String,
@@ -50,6 +52,8 @@
     /// Position that some replica held when the last write was acknowledged.
     held: u64,
     error: Option<String>,
+    /// Whether the node has said that it shuts down.
+    told_to_leave: Arc<AtomicBool>,
     operations: Vec<Operation>,
 }
 
@@ -68,6 +72,7 @@
             acknowledged: 0,
             held: 0,
             error: None,
+            told_to_leave: Arc::default(),
             operations: Vec::new(),
         }
     }
@@ -137,7 +142,13 @@
         }
         match config.connect(NoTls).await {
             Ok((client, connection)) => {
-                tokio::spawn(connection);
+                let told = Arc::new(AtomicBool::new(false));
+                self.told_to_leave = told.clone();
+                tokio::spawn(async move {
+                    let ended = connection.await.err();
+                    let code = ended.as_ref().and_then(|error| error.code());
+                    told.store(code == Some(&SqlState::ADMIN_SHUTDOWN), Ordering::Relaxed);
+                });
                 self.client = Some(client);
                 true
             }
@@ -198,6 +209,11 @@
             Err(error) => {
                 let Some(error) = error.as_db_error() else {
                     self.client = None;
+                    tokio::task::yield_now().await;
+                    if self.told_to_leave.load(Ordering::Relaxed) {
+                        self.error = Some("57P01".to_owned());
+                        return Err(Outcome::NotRun);
+                    }
                     self.error = Some("connection lost".to_owned());
                     return Err(Outcome::Unknown);
                 };
@@ -238,6 +254,7 @@
     ) {
         self.operations.push(Operation {
             caller: self.identity.index,
+            club: self.identity.club_index,
             database: self.identity.database,
             kind,
             number,
--- a/crates/load/src/history.rs
+++ b/crates/load/src/history.rs
@@ -21,6 +21,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Operation {
     pub(crate) caller: usize,
+    pub(crate) club: usize,
     pub(crate) database: usize,
     pub(crate) kind: Kind,
     /// Number that a write wrote, or the highest that a read must see.
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -25,6 +25,6 @@
 pub use error::{Error, Result};
 pub use fleet::{ADMIN_TOKEN, Fleet, Layout};
 pub use plot::plot;
-pub use report::{Gap, Latency, Report};
+pub use report::{Gap, Latency, Report, Slow};
 pub use run::{Policy, run};
 pub use scenario::{Fault, FaultKind, Rush, Scenario};
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -9,6 +9,8 @@
 use crate::faults::Loss;
 use crate::history::{Kind, Operation, Outcome};
 
+/// Slow operations that are listed.
+const SLOWEST: usize = 8;
 /// Longest latency that is told apart, in microseconds.
 const LONGEST_US: u64 = 120_000_000;
 /// Longest time that a stand-in takes to notice a fault.
@@ -43,6 +45,14 @@
     pub errors: BTreeMap<String, u64>,
     /// Share of the slot time by club.
     pub slot_time_share: BTreeMap<String, f64>,
+    /// Slot time by club, in seconds.
+    pub slot_seconds: BTreeMap<String, f64>,
+    /// Statements answered by club.
+    pub statements_by_club: BTreeMap<String, u64>,
+    /// Latency of reads by club.
+    pub read_latency_ms_by_club: BTreeMap<String, Latency>,
+    /// Slowest operations.
+    pub slowest: Vec<Slow>,
     /// Latency of reads.
     pub read_latency_ms: Latency,
     /// Latency of writes.
@@ -61,6 +71,17 @@
     pub reads_by_100_ms: Vec<u32>,
 }
 
+/// Operation that took long.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Slow {
+    /// Begin in seconds.
+    pub start: f64,
+    /// Length in milliseconds.
+    pub ms: f64,
+    /// What it was and how it ended.
+    pub what: String,
+}
+
 /// Gaps of a run and their parts.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Gap {
@@ -106,6 +127,25 @@
     }
 }
 
+/// Returns the slowest operations, slowest first.
+pub(crate) fn slowest(operations: &[Operation]) -> Vec<Slow> {
+    let mut sorted: Vec<&Operation> = operations.iter().collect();
+    sorted
+        .sort_by_key(|operation| std::cmp::Reverse(operation.end.saturating_sub(operation.start)));
+    let slow = |operation: &&Operation| Slow {
+        start: operation.start.as_secs_f64(),
+        ms: operation.end.saturating_sub(operation.start).as_secs_f64() * 1000.0,
+        what: format!(
+            "{:?} of database {}: {:?} {}",
+            operation.kind,
+            operation.database,
+            operation.outcome,
+            operation.error.as_deref().unwrap_or_default()
+        ),
+    };
+    sorted.iter().take(SLOWEST).map(slow).collect()
+}
+
 /// Returns the gaps after the losses of primaries.
 ///
 /// A gap runs from the loss to the first acknowledgement of a write that began after it: the old
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -16,7 +16,7 @@
 use crate::faults::Injector;
 use crate::fleet::metrics;
 use crate::history::{Kind, Operation, Outcome};
-use crate::report::{by_100_ms, gaps, latency, median};
+use crate::report::{by_100_ms, gaps, latency, median, slowest};
 use crate::{Error, Fleet, Gap, Layout, Report, Result, Scenario, check};
 
 /// Time for callers to finish what they do.
@@ -121,6 +121,11 @@
     heal(&fleet, &shared);
     let rows = runtime.block_on(final_rows(&shared, &fleet, &databases))?;
     let mut report = summarize(scenario, policy, seed, &operations);
+    for (club, (name, _, _)) in plan.clubs.iter().enumerate() {
+        let own: Vec<Operation> = operations.iter().filter(|o| o.club == club).cloned().collect();
+        report.statements_by_club.insert(name.clone(), own.len() as u64);
+        report.read_latency_ms_by_club.insert(name.clone(), latency(&own, Kind::Read));
+    }
     report.violations = check::violations(&operations, &rows);
     report.failover_gap_ms = gap(&gaps(&operations, &injector.losses), &fleet)?;
     compare(&mut report, &before, &after, scenario);
@@ -145,6 +150,7 @@
             identities.push(Identity {
                 index,
                 club: club.clone(),
+                club_index: position,
                 password: password.clone(),
                 database,
                 database_name: databases[database].clone(),
@@ -248,6 +254,10 @@
         outcome_unknown: count(Outcome::Unknown),
         errors: errors(operations),
         slot_time_share: BTreeMap::new(),
+        slot_seconds: BTreeMap::new(),
+        statements_by_club: BTreeMap::new(),
+        read_latency_ms_by_club: BTreeMap::new(),
+        slowest: slowest(operations),
         read_latency_ms: latency(operations, Kind::Read),
         write_latency_ms: latency(operations, Kind::Write),
         platform_calls_per_s: 0.0,
@@ -349,8 +359,11 @@
     report.control_bytes_per_s = (after.control_bytes - before.control_bytes) / seconds / nodes;
     report.probes_per_s = after.probes.saturating_sub(before.probes) as f64 / seconds / nodes;
     report.promotions = after.promotions.saturating_sub(before.promotions);
-    let total: u64 = after.slot_time.values().sum();
-    let share = |time: &u64| *time as f64 / total.max(1) as f64;
-    report.slot_time_share =
-        after.slot_time.iter().map(|(club, time)| (club.clone(), share(time))).collect();
+    for (club, time) in &after.slot_time {
+        let used = time.saturating_sub(before.slot_time.get(club).copied().unwrap_or_default());
+        report.slot_seconds.insert(club.clone(), used as f64 / 1e6);
+    }
+    let total: f64 = report.slot_seconds.values().sum();
+    let share = |(club, time): (&String, &f64)| (club.clone(), time / total.max(f64::EPSILON));
+    report.slot_time_share = report.slot_seconds.iter().map(share).collect();
 }
--- a/crates/node/src/hub/mod.rs
+++ b/crates/node/src/hub/mod.rs
@@ -22,7 +22,7 @@
 use tamarackbend_platform::{Client, api};
 use tamarackbend_policy::ownership::VmId;
 use tamarackbend_policy::retry::Budget;
-use tamarackbend_wire::{Answer, Cancel, EndSession, Frame, Statement, frame::Body};
+use tamarackbend_wire::{Answer, Cancel, EndSession, Frame, Hello, Statement, frame::Body};
 use tracing::info;
 
 use crate::Variant;
@@ -63,8 +63,10 @@
     SessionEnded(u64),
     /// A local owner answers.
     Answered(Answer),
-    /// A peer has connected or was connected to.
+    /// A peer was connected to.
     LinkUp(Link),
+    /// A peer has connected.
+    Greeted(Link, Hello),
     /// A link broke or was never there.
     LinkDown { vm: VmId, id: u64 },
     /// A peer sent a frame.
@@ -91,10 +93,18 @@
     Stop,
 }
 
+/// Whom an answer goes to.
+enum Reply {
+    /// A session of this node.
+    Session(Answers),
+    /// The node that passed the statement on.
+    Peer(VmId),
+}
+
 /// Statement that waits for its answer.
 struct Outstanding {
     statement: Statement,
-    answers: Answers,
+    reply: Reply,
     vm: VmId,
     attempts: u32,
     sent: Instant,
@@ -121,6 +131,8 @@
     sender: Sender,
     config: Arc<Config>,
     vms: BTreeMap<VmId, api::Vm>,
+    /// Peers that have connected, with the time for which that counts as being listed.
+    observed: BTreeMap<VmId, (api::Vm, Instant)>,
     suspects: BTreeMap<VmId, Instant>,
     leaving_peers: BTreeMap<VmId, Instant>,
     links: BTreeMap<VmId, Link>,
@@ -154,6 +166,7 @@
             sender,
             config: Arc::default(),
             vms: BTreeMap::new(),
+            observed: BTreeMap::new(),
             suspects: BTreeMap::new(),
             leaving_peers: BTreeMap::new(),
             links: BTreeMap::new(),
@@ -200,7 +213,9 @@
 
     fn handle(&mut self, message: Message) {
         match message {
-            Message::Statement(statement, answers) => self.route(statement, answers, 0),
+            Message::Statement(statement, answers) => {
+                self.route(statement, Reply::Session(answers), 0);
+            }
             Message::CancelKey(pid, secret) => self.cancel(pid, secret),
             Message::Session { session, pid, secret, database } => {
                 self.callers.insert(session, Caller { pid, secret, database });
@@ -208,6 +223,10 @@
             Message::SessionEnded(session) => self.session_ended(session),
             Message::Answered(answer) => self.answered(answer),
             Message::LinkUp(link) => self.link_up(link),
+            Message::Greeted(link, hello) => {
+                self.observe_peer(hello);
+                self.link_up(link);
+            }
             Message::LinkDown { vm, id } => self.link_down(&vm, id),
             Message::Frame { vm, frame } => self.frame(vm, frame),
             Message::AskPeers { database, endpoint, reply } => {
@@ -243,10 +262,7 @@
             link.heard = Instant::now();
         }
         match frame.body {
-            Some(Body::Statement(statement)) => {
-                self.remote_sessions.insert(statement.session, vm);
-                self.submit_local(statement);
-            }
+            Some(Body::Statement(statement)) => self.receive(vm, statement),
             Some(Body::Answer(answer)) => self.answered(answer),
             Some(Body::Cancel(cancel)) => self.cancel_local(&cancel),
             Some(Body::EndSession(ended)) => {
@@ -284,10 +300,11 @@
         self.links.get_mut(vm)
     }
 
-    fn hello(&self) -> tamarackbend_wire::Hello {
-        tamarackbend_wire::Hello {
+    fn hello(&self) -> Hello {
+        Hello {
             vm: self.settings.vm.clone(),
             failure_domain: self.settings.failure_domain.clone(),
+            peer_address: self.settings.peer_address.to_string(),
         }
     }
 
--- a/crates/node/src/hub/route.rs
+++ b/crates/node/src/hub/route.rs
@@ -6,29 +6,28 @@
 use tamarackbend_policy::ownership::VmId;
 use tamarackbend_wire::{Answer, Cancel, EndSession, Frame, Statement, frame::Body};
 
-use super::{Answers, Hub, Outstanding};
+use super::{Hub, Outstanding, Reply};
 use crate::owner;
 
+/// Nodes that may pass a statement on.
+const MAX_HOPS: u32 = 2;
 /// Owners that are tried with one statement.
 const ATTEMPTS: u32 = 4;
 
 impl Hub {
-    /// Passes a local session's statement to the owner of its database.
-    pub(super) fn route(&mut self, statement: Statement, answers: Answers, attempts: u32) {
+    /// Passes a statement to the owner of its database.
+    pub(super) fn route(&mut self, statement: Statement, reply: Reply, attempts: u32) {
         if attempts == 0 {
             self.retries.record_attempt();
         }
         let bound = self.sticky.get(&statement.session).filter(|_| statement.in_transaction);
         let Some(vm) = bound.cloned().or_else(|| self.owner_of(&statement.database)) else {
-            let answer = refusal(&statement, Code::NoSuchDatabase);
-            // The session may have ended.
-            let _ = answers.unbounded_send(answer);
-            return;
+            return self.reply(&reply, refusal(&statement, Code::NoSuchDatabase));
         };
         let key = (statement.session, statement.number);
         let outstanding = Outstanding {
             statement: statement.clone(),
-            answers,
+            reply,
             vm: vm.clone(),
             attempts,
             sent: Instant::now(),
@@ -42,6 +41,28 @@
         }
     }
 
+    /// Takes a peer's statement, or passes it on if another node owns the database by now.
+    ///
+    /// Views differ for a while after a node has come or gone. The node that gives a database up
+    /// sends its callers' statements after it, so that two owners do not contend for the slots.
+    pub(super) fn receive(&mut self, from: VmId, statement: Statement) {
+        let own = self.settings.vm.clone();
+        let bound = self.sticky.get(&statement.session).is_some_and(|vm| *vm != own);
+        let owner = self.owner_of(&statement.database);
+        let elsewhere = owner.is_some_and(|vm| vm != own && vm != from);
+        let passes_on = match statement.in_transaction {
+            true => bound,
+            false => elsewhere && statement.hops < MAX_HOPS,
+        };
+        if passes_on {
+            metrics::counter!("tamarackbend_statements_passed_on_total").increment(1);
+            let statement = Statement { hops: statement.hops + 1, ..statement };
+            return self.route(statement, Reply::Peer(from), 0);
+        }
+        self.remote_sessions.insert(statement.session, from);
+        self.submit_local(statement);
+    }
+
     /// Gives a statement of any node to the local owner of its database.
     pub(super) fn submit_local(&mut self, statement: Statement) {
         if self.draining.is_some() && !statement.in_transaction {
@@ -79,8 +100,21 @@
         } else {
             self.sticky.remove(&answer.session);
         }
-        // The session may have ended.
-        let _ = outstanding.answers.unbounded_send(answer);
+        self.reply(&outstanding.reply, answer);
+    }
+
+    fn reply(&mut self, reply: &Reply, answer: Answer) {
+        match reply {
+            Reply::Session(answers) => {
+                // The session may have ended.
+                let _ = answers.unbounded_send(answer);
+            }
+            Reply::Peer(vm) => {
+                if let Some(link) = self.links.get_mut(vm) {
+                    link.send(Frame::new(Body::Answer(answer)));
+                }
+            }
+        }
     }
 
     /// Sends a statement that has not run to the owner as it is seen now.
@@ -88,18 +122,19 @@
         let Some(outstanding) = self.outstanding.remove(&key) else {
             return;
         };
-        let Outstanding { statement, answers, vm, attempts, .. } = outstanding;
-        if vm != self.settings.vm {
+        let Outstanding { statement, reply, vm, attempts, .. } = outstanding;
+        let handed_over = code == Code::Draining;
+        if vm != self.settings.vm && !handed_over {
             self.suspect(&vm);
         }
         let lost = statement.in_transaction;
-        let allowed = !lost && attempts < ATTEMPTS && self.retries.try_retry();
-        if allowed && self.draining.is_none_or(|_| vm != self.settings.vm) {
+        let allowed = !lost && attempts < ATTEMPTS && (handed_over || self.retries.try_retry());
+        if allowed {
             metrics::counter!("tamarackbend_statement_reroutes_total").increment(1);
-            return self.route(statement, answers, attempts + 1);
+            return self.route(statement, reply, attempts + 1);
         }
         let code = if lost { Code::TransactionLost } else { code };
-        let _ = answers.unbounded_send(refusal(&statement, code));
+        self.reply(&reply, refusal(&statement, code));
     }
 
     /// Settles the statements that were on their way to or at `vm`.
@@ -117,7 +152,7 @@
                 self.retry(key, Code::OwnerUnreachable);
             } else if let Some(outstanding) = self.outstanding.remove(&key) {
                 let answer = refusal(&outstanding.statement, Code::OwnerLost);
-                let _ = outstanding.answers.unbounded_send(answer);
+                self.reply(&outstanding.reply, answer);
             }
         }
         self.sticky.retain(|_, bound| bound != vm);
--- a/crates/node/src/hub/view.rs
+++ b/crates/node/src/hub/view.rs
@@ -7,7 +7,7 @@
 use tamarackbend_policy::owner::Event;
 use tamarackbend_policy::ownership::{self, Candidate, VmId};
 use tamarackbend_policy::spread;
-use tamarackbend_wire::{Frame, Heartbeat, OpinionRequest, frame::Body};
+use tamarackbend_wire::{Frame, Heartbeat, Hello, OpinionRequest, frame::Body};
 use tracing::info;
 
 use super::{Hub, Message, Opinion, Question};
@@ -22,6 +22,8 @@
 const LOST: Duration = Duration::from_millis(2000);
 /// Time for which a peer's word that it is leaving holds.
 const LEAVING_TIME: Duration = Duration::from_secs(60);
+/// Time for which a peer that has connected counts as listed.
+const OBSERVED_TIME: Duration = Duration::from_secs(30);
 /// Peers that are asked whether they reach an endpoint.
 const OPINIONS: usize = 3;
 /// Time that peers have to answer.
@@ -39,7 +41,8 @@
             |vm: &Vm| Candidate { vm: vm.name.clone(), failure_domain: vm.failure_domain.clone() };
         let mut candidates: Vec<Candidate> =
             self.vms.values().filter(live).map(candidate).collect();
-        if self.draining.is_none() || candidates.is_empty() {
+        let listed = self.vms.is_empty() || self.vms.contains_key(&self.settings.vm);
+        if (listed && self.draining.is_none()) || candidates.is_empty() {
             let (vm, failure_domain) =
                 (self.settings.vm.clone(), self.settings.failure_domain.clone());
             candidates.push(Candidate { vm, failure_domain });
@@ -85,7 +88,8 @@
             self.config.document.databases().map(|(_, database)| database.name.clone()).collect();
         for name in &names {
             let own = self.owner_of(name).as_ref() == Some(&self.settings.vm);
-            if own {
+            if own && !self.owners.contains_key(name) {
+                self.greet_previous_owner(name);
                 self.local_owner(name);
             }
             if let Some(owner) = self.owners.get_mut(name) {
@@ -110,11 +114,42 @@
         self.config.document.region(failure_domain).unwrap_or_default().to_owned()
     }
 
+    /// Takes the platform's list over, with the peers that it does not show yet.
     pub(super) fn set_vms(&mut self, vms: Vec<Vm>) {
-        self.vms = vms.into_iter().map(|vm| (vm.name.clone(), vm)).collect();
+        let now = Instant::now();
+        self.observed.retain(|_, (_, until)| *until > now);
+        let observed = self.observed.values().map(|(vm, _)| vm.clone());
+        self.vms = observed.chain(vms).map(|vm| (vm.name.clone(), vm)).collect();
         self.sync_owners();
     }
 
+    /// Takes a peer into the view before the platform lists it.
+    pub(super) fn observe_peer(&mut self, hello: Hello) {
+        let Ok(peer_address) = hello.peer_address.parse() else {
+            return;
+        };
+        let Hello { vm: name, failure_domain, .. } = hello;
+        let vm = Vm { name: name.clone(), failure_domain, peer_address, leaving: false };
+        self.observed.insert(name.clone(), (vm.clone(), Instant::now() + OBSERVED_TIME));
+        if self.vms.insert(name, vm).is_none() {
+            self.sync_owners();
+        }
+    }
+
+    /// Tells the node that owned `database` before this one that it is here.
+    fn greet_previous_owner(&mut self, database: &str) {
+        let Some((_, found)) = self.config.document.database(database) else {
+            return;
+        };
+        let preferred = found.endpoints.first().map(|endpoint| endpoint.failure_domain.as_str());
+        let mut others = self.candidates();
+        others.retain(|candidate| candidate.vm != self.settings.vm);
+        let previous = ownership::owner(database, others.iter(), preferred);
+        if let Some(vm) = previous.map(|previous| previous.vm.clone()) {
+            self.link_to(&vm);
+        }
+    }
+
     pub(super) fn other_vms(&self) -> Vec<VmId> {
         self.vms.keys().filter(|vm| **vm != self.settings.vm).cloned().collect()
     }
--- a/crates/node/src/link/mod.rs
+++ b/crates/node/src/link/mod.rs
@@ -109,8 +109,9 @@
         return;
     };
     let (link, queue) = Link::new(hello.vm.clone(), true);
-    let (vm, id) = (hello.vm, link.id);
-    let _ = hub.unbounded_send(Message::LinkUp(link));
+    let (vm, id) = (hello.vm.clone(), link.id);
+    // The hub ends with the node.
+    let _ = hub.unbounded_send(Message::Greeted(link, hello));
     carry(reader, writer, None, queue, &vm, &hub).await;
     let _ = hub.unbounded_send(Message::LinkDown { vm, id });
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -72,6 +72,8 @@
             peer: address(&listeners.peer)?,
             admin: address(&listeners.admin)?,
         };
+        // Peers are told the address at which the node really listens.
+        let settings = Settings { peer_address: addresses.peer, ..settings };
         let (hub, messages) = mpsc::unbounded();
         let sender = hub.clone();
         let thread = std::thread::Builder::new()
--- a/crates/policy/src/owner/mod.rs
+++ b/crates/policy/src/owner/mod.rs
@@ -396,7 +396,7 @@
                 self.settings.read_wait = limits.read_wait;
                 self.settings.idle_in_transaction = limits.idle_in_transaction;
             }
-            Event::Retire(retired) => self.retired = retired,
+            Event::Retire(retired) => self.retire(retired),
         }
     }
 
@@ -442,6 +442,16 @@
         }
     }
 
+    /// Gives waiting statements back when another node owns the database: they go there.
+    fn retire(&mut self, retired: bool) {
+        self.retired = retired;
+        if retired {
+            for waiting in self.queue.remove(|waiting| !waiting.ran) {
+                self.answer_not_run(waiting.request.ticket, Code::Draining);
+            }
+        }
+    }
+
     fn opened(&mut self, connection: ConnectionId) {
         if !self.connections.contains_key(&connection) {
             return self.actions.push(Action::Close(connection));
--- /dev/null
+++ b/crates/policy/tests/common/mod.rs
@@ -0,0 +1,62 @@
+//! An owner of three endpoints in term one.
+
+use std::time::Duration;
+
+use tamarackbend_policy::failover::Group;
+use tamarackbend_policy::owner::{
+    Action, ConnectionId, Event, Kind, Owner, Request, Settings, Ticket,
+};
+use tamarackbend_policy::position::{Floor, Role, Status};
+use tamarackbend_policy::session::Freshness;
+
+/// Time at which everything happens.
+pub const NOW: Duration = Duration::from_millis(10);
+
+/// Status of an endpoint in term one.
+pub fn status(role: Role) -> Status {
+    Status {
+        role,
+        closed_term: 1,
+        term: 1,
+        log_term: 1,
+        term_start: 0,
+        position: 5,
+        incarnation: 1,
+    }
+}
+
+/// Owner that knows its group; endpoint 0 is primary.
+pub fn owner(settings: Settings) -> Owner {
+    let mut owner = Owner::new(settings);
+    owner.step(NOW, Event::Tick);
+    let group = Group { version: 1, term: 1, primary: Some(0), attempt: 0 };
+    owner.step(NOW, Event::GroupRead(Ok(group)));
+    for endpoint in 0..3 {
+        let role = if endpoint == 0 { Role::Primary } else { Role::Replica };
+        owner.step(NOW, Event::Probed(endpoint, Some(status(role))));
+    }
+    owner
+}
+
+/// Autocommit write of session 7.
+pub fn write(ticket: Ticket) -> Request {
+    Request {
+        ticket,
+        session: 7,
+        statement: ticket,
+        club: "tuinvreugd".to_owned(),
+        kind: Kind::Write,
+        freshness: Freshness::Floor(Floor::default()),
+        max_age: None,
+        in_transaction: false,
+        deadline: Duration::from_secs(10),
+    }
+}
+
+/// Connection that the actions open.
+pub fn opened(actions: &[Action]) -> Option<ConnectionId> {
+    actions.iter().find_map(|action| match action {
+        Action::Open(connection, _) => Some(*connection),
+        _ => None,
+    })
+}
