Spread the list of VMs through watchers, and measure an idle fleet by size

Cause: each node read the whole list every two seconds. At 4,100 nodes that is 2,050 calls a second, above the platform's two thousand reads, and 0.4 MB each; gossip with any random peer would also have linked every node with every other.

Change: the two watchers of a failure domain read the list and pass differences down the tree that carries configuration changes; the others read it every five minutes to repair their view. Gossip goes to six fixed neighbours. Keys of tokens are read every ten minutes.

tamarackbend-load capacity measures cost by nodes and databases.

--- a/crates/load/src/bin/tamarackbend-load.rs
+++ b/crates/load/src/bin/tamarackbend-load.rs
@@ -1,10 +1,10 @@
 //! Load and experiments.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use tamarackbend_load::{Policy, Scenario, plot, run};
+use tamarackbend_load::{Policy, Scenario, capacity, plot, run};
 
 /// Exit status of a run that broke a promise.
 const EXIT_VIOLATION: u8 = 3;
@@ -37,6 +37,45 @@
         #[arg(long, value_name = "OUT.svg")]
         plot: Option<PathBuf>,
     },
+    /// Measure what an idle fleet costs at several sizes.
+    Capacity {
+        /// File for the figures.
+        #[arg(long, value_name = "OUT")]
+        json: PathBuf,
+        /// Sizes as NODES:DATABASES.
+        #[arg(long, value_delimiter = ',', default_value = "10:9,40:9,120:9,1:9,1:30,1:90")]
+        sizes: Vec<Size>,
+    },
+    /// Hold idle connections open, for measuring a node's memory from outside.
+    Idle {
+        /// Connection string.
+        #[arg(long)]
+        dsn: String,
+        /// Number of connections.
+        #[arg(long)]
+        count: usize,
+        /// Time to hold them.
+        #[arg(long, default_value = "10s", value_parser = humantime::parse_duration)]
+        time: std::time::Duration,
+    },
+}
+
+/// Number of nodes and of databases.
+#[derive(Clone, Copy, Debug)]
+struct Size {
+    nodes: usize,
+    databases: usize,
+}
+
+impl std::str::FromStr for Size {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Size, String> {
+        let wrong = || format!("{text} is not of the form NODES:DATABASES");
+        let (nodes, databases) = text.split_once(':').ok_or_else(wrong)?;
+        let nodes = nodes.parse().map_err(|_| wrong())?;
+        Ok(Size { nodes, databases: databases.parse().map_err(|_| wrong())? })
+    }
 }
 
 fn main() -> ExitCode {
@@ -52,12 +91,38 @@
 }
 
 fn execute(command: Command) -> Result<ExitCode, Box<dyn std::error::Error>> {
-    let Command::Run { scenario, policy, seed, json, plot: plot_file } = command;
+    match command {
+        Command::Run { scenario, policy, seed, json, plot } => {
+            run_scenario(&scenario, policy, seed, &json, plot.as_deref())
+        }
+        Command::Capacity { json, sizes } => {
+            let sizes: Vec<_> = sizes.iter().map(|size| (size.nodes, size.databases)).collect();
+            let measured = capacity(&sizes)?;
+            std::fs::write(json, serde_json::to_string_pretty(&measured)?)?;
+            for point in &measured.points {
+                println!("{point}");
+            }
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Idle { dsn, count, time } => {
+            tamarackbend_load::idle(&dsn, count, time)?;
+            Ok(ExitCode::SUCCESS)
+        }
+    }
+}
+
+fn run_scenario(
+    scenario: &Path,
+    policy: Policy,
+    seed: u64,
+    json: &Path,
+    plot_file: Option<&Path>,
+) -> Result<ExitCode, Box<dyn std::error::Error>> {
     let scenario = Scenario::from_yaml(&std::fs::read_to_string(scenario)?)?;
     let report = run(&scenario, policy, seed)?;
     std::fs::write(json, serde_json::to_string_pretty(&report)?)?;
     if let Some(file) = plot_file {
-        plot(&report, &file)?;
+        plot(&report, file)?;
     }
     println!(
         "{} {}: {} statements, replica reads {:.3} of {:.3}, gap median {:.0} ms max {:.0} ms, \
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -172,6 +172,14 @@
     }
 }
 
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for node in &self.nodes {
+            node.kill();
+        }
+    }
+}
+
 /// Returns the metrics of the process.
 ///
 /// # Errors
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -12,18 +12,22 @@
 //! ```
 
 mod caller;
+mod capacity;
 mod check;
 mod error;
 mod faults;
 mod fleet;
 mod history;
+mod idle;
 mod plot;
 mod report;
 mod run;
 mod scenario;
 
+pub use capacity::{Capacity, Point, capacity};
 pub use error::{Error, Result};
 pub use fleet::{ADMIN_TOKEN, Fleet, Layout};
+pub use idle::idle;
 pub use plot::plot;
 pub use report::{Gap, Latency, Report, Slow};
 pub use run::{Policy, run};
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -20,8 +20,10 @@
 const IDLE_WAIT: Duration = Duration::from_secs(1);
 /// Time between two reads of the list of VMs.
 const VMS_INTERVAL: Duration = Duration::from_secs(2);
+/// Reads of the list that a node which does not watch leaves out before it repairs its view.
+const VMS_REPAIR: u32 = 150;
 /// Time between two reads of the keys.
-const KEYS_INTERVAL: Duration = Duration::from_secs(60);
+const KEYS_INTERVAL: Duration = Duration::from_secs(600);
 /// First delay after a failed call.
 const RETRY_BASE: Duration = Duration::from_millis(200);
 /// Longest delay after a failed call.
@@ -87,9 +89,15 @@
 }
 
 async fn follow_vms(client: Client, hub: Sender) {
+    let mut left_out = VMS_REPAIR;
     loop {
-        if let Ok(vms) = client.vms().await {
-            let _ = hub.unbounded_send(Message::Vms(vms));
+        if left_out >= VMS_REPAIR || is_watcher(&hub).await {
+            if let Ok(vms) = client.vms().await {
+                let _ = hub.unbounded_send(Message::Vms(vms));
+                left_out = rand::random_range(0..VMS_REPAIR / 10);
+            }
+        } else {
+            left_out += 1;
         }
         compio::time::sleep(VMS_INTERVAL).await;
     }
--- a/crates/node/src/hub/mod.rs
+++ b/crates/node/src/hub/mod.rs
@@ -273,6 +273,7 @@
             Some(Body::ConfigRequest(request)) => self.config_request(&vm, request.version),
             Some(Body::ConfigChange(change)) => self.config_change(&vm, change),
             Some(Body::OpinionRequest(request)) => self.opinion_request(vm, &request),
+            Some(Body::ViewChange(change)) => self.view_change(change),
             Some(Body::Opinion(opinion)) => self.opinion(opinion.question, opinion.reached),
             Some(Body::Hello(_)) | None => {}
         }
--- a/crates/node/src/hub/spread.rs
+++ b/crates/node/src/hub/spread.rs
@@ -30,23 +30,24 @@
         }
         self.sync_owners();
         if from > 0 {
-            self.pass_on(&change);
+            self.pass_on(Body::ConfigChange(change));
         }
     }
 
-    fn pass_on(&mut self, change: &ConfigChange) {
+    /// Sends a change to the nodes that this one serves in its failure domain's tree.
+    pub(super) fn pass_on(&mut self, change: Body) {
         let candidates = self.candidates();
         let order = spread::order(&candidates, &self.settings.failure_domain);
         let children: Vec<VmId> =
             spread::children(&order, &self.settings.vm).into_iter().cloned().collect();
         for vm in children {
-            self.send(&vm, Body::ConfigChange(change.clone()));
+            self.send(&vm, change.clone());
         }
     }
 
-    /// Tells a random peer the version in force, so that differences are found.
+    /// Tells a random neighbour the version in force, so that differences are found.
     pub(super) fn gossip(&mut self) {
-        let peers = self.other_vms();
+        let peers = self.neighbours();
         if let Some(peer) = peers.choose(&mut rand::rng()) {
             let heartbeat = self.own_heartbeat();
             self.send(peer, Body::Heartbeat(heartbeat));
--- a/crates/node/src/hub/view.rs
+++ b/crates/node/src/hub/view.rs
@@ -1,5 +1,6 @@
 //! View of the fleet: the platform's list, corrected by what links show.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use futures_channel::mpsc;
@@ -7,7 +8,7 @@
 use tamarackbend_policy::owner::Event;
 use tamarackbend_policy::ownership::{self, Candidate, VmId};
 use tamarackbend_policy::spread;
-use tamarackbend_wire::{Frame, Heartbeat, Hello, OpinionRequest, frame::Body};
+use tamarackbend_wire::{Frame, Heartbeat, Hello, OpinionRequest, Peer, ViewChange, frame::Body};
 use tracing::info;
 
 use super::{Hub, Message, Opinion, Question};
@@ -22,6 +23,8 @@
 const LOST: Duration = Duration::from_millis(2000);
 /// Time for which a peer's word that it is leaving holds.
 const LEAVING_TIME: Duration = Duration::from_secs(60);
+/// Peers with which a node compares versions.
+const NEIGHBOURS: usize = 6;
 /// Time for which a peer that has connected counts as listed.
 const OBSERVED_TIME: Duration = Duration::from_secs(30);
 /// Peers that are asked whether they reach an endpoint.
@@ -115,11 +118,49 @@
     }
 
     /// Takes the platform's list over, with the peers that it does not show yet.
+    ///
+    /// Only watchers read the list often; they pass the differences on.
     pub(super) fn set_vms(&mut self, vms: Vec<Vm>) {
         let now = Instant::now();
         self.observed.retain(|_, (_, until)| *until > now);
-        let observed = self.observed.values().map(|(vm, _)| vm.clone());
-        self.vms = observed.chain(vms).map(|vm| (vm.name.clone(), vm)).collect();
+        let listed: BTreeMap<VmId, Vm> = vms.into_iter().map(|vm| (vm.name.clone(), vm)).collect();
+        let known = !self.vms.is_empty();
+        let changed = listed.values().filter(|vm| self.vms.get(&vm.name) != Some(*vm));
+        let gone = self
+            .vms
+            .keys()
+            .filter(|name| !listed.contains_key(*name) && !self.observed.contains_key(*name));
+        let change =
+            ViewChange { changed: changed.map(peer).collect(), gone: gone.cloned().collect() };
+        if known && self.is_watcher() {
+            self.pass_on(Body::ViewChange(change.clone()));
+        }
+        self.apply_view(change);
+    }
+
+    /// Takes over the differences that another node has seen, and passes on what is news.
+    pub(super) fn view_change(&mut self, mut change: ViewChange) {
+        change.changed.retain(|peer| {
+            let known = self.vms.get(&peer.vm);
+            known.is_none_or(|vm| vm.leaving != peer.leaving)
+        });
+        change.gone.retain(|vm| self.vms.contains_key(vm));
+        if !change.changed.is_empty() || !change.gone.is_empty() {
+            self.pass_on(Body::ViewChange(change.clone()));
+            self.apply_view(change);
+        }
+    }
+
+    fn apply_view(&mut self, change: ViewChange) {
+        if change.changed.is_empty() && change.gone.is_empty() {
+            return;
+        }
+        for vm in &change.gone {
+            self.vms.remove(vm);
+        }
+        for vm in change.changed.into_iter().filter_map(listed_vm) {
+            self.vms.insert(vm.name.clone(), vm);
+        }
         self.sync_owners();
     }
 
@@ -136,6 +177,19 @@
         }
     }
 
+    /// Returns the few peers with which this node compares versions.
+    ///
+    /// The choice is fixed by the names, so that the number of links stays bounded.
+    pub(super) fn neighbours(&self) -> Vec<VmId> {
+        let mut peers = self.other_vms();
+        peers.sort_by_cached_key(|peer| {
+            let candidate = Candidate { vm: peer.clone(), failure_domain: String::new() };
+            ownership::score(&self.settings.vm, &candidate, None).to_bits()
+        });
+        peers.truncate(NEIGHBOURS);
+        peers
+    }
+
     /// Tells the node that owned `database` before this one that it is here.
     fn greet_previous_owner(&mut self, database: &str) {
         let Some((_, found)) = self.config.document.database(database) else {
@@ -154,7 +208,12 @@
         self.vms.keys().filter(|vm| **vm != self.settings.vm).cloned().collect()
     }
 
+    /// Returns whether this node reads the platform for its failure domain, or for itself as long
+    /// as the platform does not list it.
     pub(super) fn is_watcher(&self) -> bool {
+        if !self.vms.contains_key(&self.settings.vm) {
+            return true;
+        }
         let candidates = self.candidates();
         let order = spread::order(&candidates, &self.settings.failure_domain);
         spread::is_watcher(&order, &self.settings.vm)
@@ -329,3 +388,17 @@
         .detach();
     }
 }
+
+fn peer(vm: &Vm) -> Peer {
+    Peer {
+        vm: vm.name.clone(),
+        failure_domain: vm.failure_domain.clone(),
+        peer_address: vm.peer_address.to_string(),
+        leaving: vm.leaving,
+    }
+}
+
+fn listed_vm(peer: Peer) -> Option<Vm> {
+    let Peer { vm: name, failure_domain, peer_address, leaving } = peer;
+    Some(Vm { name, failure_domain, peer_address: peer_address.parse().ok()?, leaving })
+}
