--- a/crates/node/src/entry/session.rs
+++ b/crates/node/src/entry/session.rs
@@ -31,9 +31,6 @@
 /// Type of text in a row description.
 const TEXT_TYPE: u32 = 25;
 
-/// Parameters that a caller may set without effect on others, since endpoints need not know them.
-const IGNORED: &[&str] = &["application_name", "client_encoding", "extra_float_digits"];
-
 /// Serves one caller until it leaves or the node drains.
 pub(super) async fn serve(stream: TcpStream, context: Context, full: bool) {
     let (reader, mut writer) = split(stream);
@@ -157,7 +154,7 @@
                 self.put(&Backend::EmptyQueryResponse(EmptyQueryResponse::new()));
                 self.finish().await
             }
-            Class::Set { ref name, ref value } if self.sets(name) => {
+            Class::Set { ref name, ref value } if sets(name, value) => {
                 self.set(name, value);
                 self.finish().await
             }
@@ -323,10 +320,6 @@
         self.put_ready();
     }
 
-    fn sets(&self, name: &str) -> bool {
-        name.starts_with("tamarackbend.") || IGNORED.contains(&name)
-    }
-
     fn set(&mut self, name: &str, value: &str) {
         if name == MAX_AGE {
             let off = value.is_empty() || value == "off";
@@ -385,6 +378,15 @@
     }
 }
 
+/// Returns whether a parameter is the session's own and endpoints need not know it.
+fn sets(name: &str, value: &str) -> bool {
+    match name {
+        "client_encoding" => ["UTF8", "UTF-8", "UNICODE"].contains(&value.to_uppercase().as_str()),
+        "application_name" | "extra_float_digits" => true,
+        name => name.starts_with("tamarackbend."),
+    }
+}
+
 fn size(message: &Frontend) -> usize {
     let mut output = BytesMut::new();
     // A message that cannot be encoded is refused when its batch is sent.
