--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -16,6 +16,10 @@
 
 /// Time that one watch of the configuration waits for a change.
 const WATCH_WAIT: Duration = Duration::from_secs(30);
+/// Looks at whether a peer has sent a configuration before the platform is asked.
+const PEER_POLLS: u32 = 10;
+/// Time between two of them.
+const PEER_POLL: Duration = Duration::from_millis(50);
 /// Time between two looks of a node that does not watch at whether it should.
 const IDLE_WAIT: Duration = Duration::from_secs(1);
 /// Time between two reads of the list of VMs.
@@ -47,7 +51,7 @@
 async fn follow_config(client: Client, hub: Sender) {
     let mut store = Store::new(client.clone());
     let mut backoff = Backoff::new(RETRY_BASE, RETRY_CAP, rand::random());
-    let mut version = 0;
+    let mut version = await_peers(&hub, &mut store).await;
     loop {
         if version > 0 && !is_watcher(&hub).await {
             compio::time::sleep(IDLE_WAIT).await;
@@ -56,7 +60,12 @@
         let seen = client.watch(KIND_CONFIG, "head", version, WATCH_WAIT).await;
         let loaded = match seen {
             Ok(seen) if seen == version => continue,
-            Ok(_) => load(&mut store).await,
+            Ok(_) => {
+                if let Some(config) = config(&hub).await {
+                    store.remember(&config.sections);
+                }
+                load(&mut store).await
+            }
             Err(_) => None,
         };
         match loaded {
@@ -71,6 +80,30 @@
     }
 }
 
+/// Waits a moment for a peer's configuration; returns its version, zero if there is none.
+///
+/// A node that starts takes the document from a peer: reading its sections one by one from the
+/// platform, as the first nodes must, would be thousands of calls.
+async fn await_peers(hub: &Sender, store: &mut Store) -> u64 {
+    for _ in 0..PEER_POLLS {
+        compio::time::sleep(PEER_POLL).await;
+        let Some(config) = config(hub).await else {
+            return 0;
+        };
+        if config.version > 0 {
+            store.remember(&config.sections);
+            return config.version;
+        }
+    }
+    0
+}
+
+async fn config(hub: &Sender) -> Option<Arc<Config>> {
+    let (reply, answer) = oneshot::channel();
+    hub.unbounded_send(Message::GetConfig(reply)).ok()?;
+    answer.await.ok()
+}
+
 async fn is_watcher(hub: &Sender) -> bool {
     let (reply, answer) = oneshot::channel();
     hub.unbounded_send(Message::IsWatcher(reply)).is_ok() && answer.await.unwrap_or(false)
--- a/crates/node/src/hub/spread.rs
+++ b/crates/node/src/hub/spread.rs
@@ -53,6 +53,14 @@
         }
     }
 
+    /// Asks two neighbours for the configuration, when this node has none.
+    pub(super) fn ask_for_config(&mut self) {
+        let peers: Vec<VmId> = self.neighbours.iter().take(2).cloned().collect();
+        for peer in peers {
+            self.send(&peer, Body::ConfigRequest(ConfigRequest { version: 0 }));
+        }
+    }
+
     pub(super) fn compare_versions(&mut self, vm: &VmId, version: u64) {
         if version > self.config.version {
             let request = ConfigRequest { version: self.config.version };
--- a/crates/node/src/hub/view.rs
+++ b/crates/node/src/hub/view.rs
@@ -67,6 +67,9 @@
         if self.table.set_candidates(candidates) {
             self.sync_owners();
         }
+        if self.config.version == 0 {
+            self.ask_for_config();
+        }
     }
 
     /// Takes the databases of the configuration over into the table of owners.
--- a/crates/platform/src/document.rs
+++ b/crates/platform/src/document.rs
@@ -47,6 +47,13 @@
         Store { client, known: BTreeMap::new() }
     }
 
+    /// Takes sections over that are known from elsewhere, so that they need not be read.
+    pub fn remember(&mut self, sections: &[Section]) {
+        for section in sections {
+            self.known.insert(section.reference().hash, section.clone());
+        }
+    }
+
     /// Reads the document that is in force; of its sections only those that are not known yet.
     ///
     /// # Errors
--- a/crates/policy/src/spread.rs
+++ b/crates/policy/src/spread.rs
@@ -12,7 +12,7 @@
 /// Nodes of a failure domain that watch the platform.
 pub const WATCHERS: usize = 2;
 /// Nodes that one node passes a change on to.
-pub const FAN_OUT: usize = 16;
+pub const FAN_OUT: usize = 8;
 
 /// Returns the nodes of `failure_domain` in tree order; the first [`WATCHERS`] watch.
 pub fn order<'a>(candidates: &'a [Candidate], failure_domain: &str) -> Vec<&'a VmId> {
