Let no club hold every slot of an endpoint by open transactions

Cause: with two slots a database, two paused callers of one club could keep all others waiting for idle_in_transaction, 5 s, and again.

Change: a statement that begins a transaction waits while its club holds all but one of the endpoint's slots by open ones. The entry tells the owner which statements begin one.

--- a/crates/node/src/entry/session.rs
+++ b/crates/node/src/entry/session.rs
@@ -255,6 +255,7 @@
             write,
             in_transaction,
             hops: 0,
+            begins: matches!(class, Class::Begin { .. }),
             floor: floor.map(|f| wire::Floor { term: f.term, position: f.position }),
             max_age_ms: max_age.and_then(|age| u64::try_from(age.as_millis()).ok()),
             timeout_ms: u64::try_from(self.caller.service.queue_timeout.as_millis())
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -286,6 +286,7 @@
             freshness,
             max_age: statement.max_age_ms.map(Duration::from_millis),
             in_transaction: statement.in_transaction,
+            begins: statement.begins,
             deadline: self.now() + Duration::from_millis(statement.timeout_ms),
         };
         let running = Running {
--- a/crates/policy/src/owner/action.rs
+++ b/crates/policy/src/owner/action.rs
@@ -45,6 +45,8 @@
     pub max_age: Option<Duration>,
     /// Whether the session has an open transaction.
     pub in_transaction: bool,
+    /// Whether the statement begins a transaction.
+    pub begins: bool,
     /// When it is no longer worth starting.
     pub deadline: Duration,
 }
--- a/crates/policy/src/owner/connection.rs
+++ b/crates/policy/src/owner/connection.rs
@@ -27,7 +27,7 @@
     }
 
     pub(super) fn broken(&mut self, connection: ConnectionId) {
-        if let Some(Connection { endpoint, used }) = self.connections.remove(&connection) {
+        if let Some(Connection { endpoint, used, .. }) = self.connections.remove(&connection) {
             self.endpoints[endpoint].probe_now();
             if let Use::Pinned { session, .. } = used {
                 self.pinned.remove(&session);
@@ -50,7 +50,8 @@
             for _ in 0..room.min(wanted.saturating_sub(opening)) {
                 let id = self.next_connection;
                 self.next_connection += 1;
-                self.connections.insert(id, Connection { endpoint, used: Use::Opening });
+                self.connections
+                    .insert(id, Connection { endpoint, used: Use::Opening, holder: None });
                 self.actions.push(Action::Open(id, endpoint));
             }
         }
@@ -75,6 +76,19 @@
 
     pub(super) fn release(&mut self, connection: ConnectionId) {
         self.set_use(connection, Use::Idle { since: self.now });
+        if let Some(connection) = self.connections.get_mut(&connection) {
+            connection.holder = None;
+        }
+    }
+
+    /// Returns whether a club may begin another transaction on an endpoint.
+    ///
+    /// One slot is left to the others, if there are two or more.
+    pub(super) fn may_hold(&self, club: &str, endpoint: EndpointIndex) -> bool {
+        let held = self.connections.values().filter(|connection| {
+            connection.endpoint == endpoint && connection.holder.as_deref() == Some(club)
+        });
+        held.count() < self.settings.slots.saturating_sub(1).max(1)
     }
 
     pub(super) fn pin(&mut self, connection: ConnectionId, session: SessionId) {
--- a/crates/policy/src/owner/mod.rs
+++ b/crates/policy/src/owner/mod.rs
@@ -31,7 +31,7 @@
 
 use crate::failover::{Failover, Group, Timeline};
 use crate::position::{EndpointIndex, Floor, Status};
-use crate::queue::Queue;
+use crate::queue::{ClubId, Queue};
 use crate::retry::Budget;
 
 /// Time without a step after which the process is taken to have been stopped and continued.
@@ -64,10 +64,12 @@
     Pinned { session: SessionId, since: Duration },
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Connection {
     endpoint: EndpointIndex,
     used: Use,
+    /// Club whose transaction it carries.
+    holder: Option<ClubId>,
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/policy/src/owner/place.rs
+++ b/crates/policy/src/owner/place.rs
@@ -50,10 +50,14 @@
 
     /// Returns the endpoints that may run `waiting` now, best first.
     pub(super) fn targets(&self, waiting: &Waiting) -> Vec<EndpointIndex> {
-        match waiting.request.kind {
+        let mut targets = match waiting.request.kind {
             Kind::Write => self.write_target(waiting).into_iter().collect(),
             Kind::Read => self.read_targets(waiting),
+        };
+        if waiting.request.begins {
+            targets.retain(|endpoint| self.may_hold(&waiting.request.club, *endpoint));
         }
+        targets
     }
 
     pub(super) fn write_target(&self, waiting: &Waiting) -> Option<EndpointIndex> {
--- a/crates/policy/src/owner/statement.rs
+++ b/crates/policy/src/owner/statement.rs
@@ -276,6 +276,9 @@
             return self.answer_not_run(waiting.request.ticket, Code::TransactionLost);
         };
         used.used = Use::Busy;
+        if waiting.request.begins {
+            used.holder = Some(waiting.request.club.clone());
+        }
         let endpoint = used.endpoint;
         let incarnation = self.endpoints[endpoint].status().map_or(0, |status| status.incarnation);
         let ticket = waiting.request.ticket;
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -49,6 +49,7 @@
         freshness: Freshness::Floor(Floor::default()),
         max_age: None,
         in_transaction: false,
+        begins: false,
         deadline: Duration::from_secs(10),
     }
 }
--- a/crates/policy/tests/history/world.rs
+++ b/crates/policy/tests/history/world.rs
@@ -554,6 +554,7 @@
             freshness: caller.session.freshness(DATABASE),
             max_age: None,
             in_transaction: caller.transaction.is_some(),
+            begins: matches!(work, Work::Begin),
             deadline: self.now + Duration::from_secs(8),
         };
         let session = request.session;
