Recognize a section whose write's answer was lost, and tidy

Cause: config apply resolved a lost answer to the head by reading, but failed when the answer to a section's write was lost, although the section was there.

Tidied without a change of behaviour: two loops that took running statements off their connections are one; parameters that nothing used are gone.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -10,6 +10,8 @@
 use tamarackbend_node::Node;
 use tracing::info;
 
+/// Number of the signal with which the platform stops a VM.
+const SIGTERM: i32 = 15;
 /// Exit status for settings that are not valid.
 const EXIT_SETTINGS: u8 = 2;
 
@@ -81,6 +83,3 @@
     node.join();
     ExitCode::SUCCESS
 }
-
-/// Number of the signal with which the platform stops a VM.
-const SIGTERM: i32 = 15;
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -5,7 +5,7 @@
 
 use compio::runtime::JoinHandle;
 use futures_channel::oneshot;
-use tamarackbend_config::{Document, Settings};
+use tamarackbend_config::Document;
 use tamarackbend_platform::api::{KIND_CONFIG, KIND_KEY, Keys as KeyObject};
 use tamarackbend_platform::{Client, Store};
 use tamarackbend_policy::retry::Backoff;
@@ -34,11 +34,7 @@
 const RETRY_CAP: Duration = Duration::from_secs(10);
 
 /// Starts to follow the platform; returns the keys of session tokens and the tasks.
-pub(crate) fn start(
-    _settings: &Settings,
-    client: Client,
-    hub: Sender,
-) -> (Keys, Vec<JoinHandle<()>>) {
+pub(crate) fn start(client: Client, hub: Sender) -> (Keys, Vec<JoinHandle<()>>) {
     let keys = Keys::default();
     let tasks = vec![
         compio::runtime::spawn(follow_config(client.clone(), hub.clone())),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -129,7 +129,7 @@
 ) {
     let client = Client::new(settings.platform_address);
     let (draining, drained) = oneshot::channel();
-    let (token_keys, watching) = control::start(&settings, client.clone(), sender.clone());
+    let (token_keys, watching) = control::start(client.clone(), sender.clone());
     let context = entry::Context {
         hub: sender.clone(),
         limits: settings.limits.clone(),
--- a/crates/platform/src/document.rs
+++ b/crates/platform/src/document.rs
@@ -126,6 +126,12 @@
             Ok(_) => Ok(()),
             // The same content is there already.
             Err(error) if error.is_conflict() => Ok(()),
+            // The answer may be lost, not the write.
+            Err(error) if error.is_unavailable() => match self.client.get(KIND_CONFIG, &name).await
+            {
+                Ok(Some(_)) => Ok(()),
+                _ => Err(error),
+            },
             Err(error) => Err(error),
         }
     }
--- a/crates/policy/src/owner/statement.rs
+++ b/crates/policy/src/owner/statement.rs
@@ -1,5 +1,6 @@
 //! Statements from their arrival to their answer.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::{
@@ -197,44 +198,36 @@
 
     /// Answers what still runs on an endpoint that is no longer primary.
     pub(super) fn settle_deposed(&mut self, primary: EndpointIndex) {
-        let deposed = |running: &&Running| {
+        let deposed = |running: &Running| {
             running.endpoint != primary && running.waiting.request.kind == Kind::Write
         };
-        let tickets: Vec<Ticket> = self
-            .running
-            .values()
-            .filter(deposed)
-            .map(|running| running.waiting.request.ticket)
-            .collect();
-        for ticket in tickets {
-            if let Some(running) = self.running.remove(&ticket) {
-                self.close(running.connection);
-                self.answer_unknown(ticket, Code::Deposed);
-            }
+        for running in self.take_running(deposed) {
+            self.answer_unknown(running.waiting.request.ticket, Code::Deposed);
         }
     }
 
     /// Starts the reads on an endpoint that has stopped to answer elsewhere.
     pub(super) fn settle_silent(&mut self, endpoint: EndpointIndex) {
-        let stuck = |running: &&Running| {
+        let stuck = |running: &Running| {
             let request = &running.waiting.request;
             let repeatable = request.kind == Kind::Read && !request.in_transaction;
             running.endpoint == endpoint && repeatable
         };
-        let tickets: Vec<Ticket> = self
-            .running
-            .values()
-            .filter(stuck)
-            .map(|running| running.waiting.request.ticket)
-            .collect();
-        for ticket in tickets {
-            if let Some(running) = self.running.remove(&ticket) {
-                self.close(running.connection);
-                self.requeue_or(running, Code::ConnectionLost, true);
-            }
+        for running in self.take_running(stuck) {
+            self.requeue_or(running, Code::ConnectionLost, true);
         }
     }
 
+    /// Takes the running statements that match off their connections, which are closed.
+    fn take_running(&mut self, matches: impl Fn(&Running) -> bool) -> Vec<Running> {
+        let running = std::mem::take(&mut self.running);
+        let (taken, kept) = running.into_iter().partition(|(_, running)| matches(running));
+        self.running = kept;
+        let taken: BTreeMap<Ticket, Running> = taken;
+        taken.values().for_each(|running| self.close(running.connection));
+        taken.into_values().collect()
+    }
+
     pub(super) fn expire(&mut self) {
         for waiting in self.queue.expire(self.now) {
             let code = match waiting.request.kind {
--- a/crates/standin/src/endpoint/engine.rs
+++ b/crates/standin/src/endpoint/engine.rs
@@ -87,15 +87,14 @@
 }
 
 /// Splits a text into its statements.
-pub(super) fn split(connection: &Connection, sql: &str) -> Vec<String> {
+pub(super) fn split(sql: &str) -> Vec<String> {
     let dialect = sqlparser::dialect::PostgreSqlDialect {};
-    if let Ok(statements) = sqlparser::parser::Parser::parse_sql(&dialect, sql)
-        && statements.len() > 1
-    {
-        return statements.iter().map(ToString::to_string).collect();
+    match sqlparser::parser::Parser::parse_sql(&dialect, sql) {
+        Ok(statements) if statements.len() > 1 => {
+            statements.iter().map(ToString::to_string).collect()
+        }
+        _ => vec![sql.trim().trim_end_matches(';').to_owned()],
     }
-    let _ = connection;
-    vec![sql.trim().trim_end_matches(';').to_owned()]
 }
 
 /// Returns the columns of a statement and whether it only reads.
--- a/crates/standin/src/endpoint/session.rs
+++ b/crates/standin/src/endpoint/session.rs
@@ -47,7 +47,7 @@
     index: usize,
     connection: Connection,
     transaction: TransactionStatus,
-    /// Whether an explicit transaction writes.
+    /// Writes that are not committed yet.
     logged: Vec<Logged>,
     prepared: BTreeMap<String, Prepared>,
     portals: BTreeMap<String, Portal>,
@@ -235,7 +235,7 @@
     }
 
     async fn query(&mut self, sql: &str) {
-        let statements = engine::split(&self.connection, sql);
+        let statements = engine::split(sql);
         if statements.iter().all(|statement| statement.is_empty()) {
             return self.put(&Backend::EmptyQueryResponse(EmptyQueryResponse::new()));
         }
