Ask peers at the first missed probe

Cause: of a paused primary's gap of 0.9 s, 250 ms were spent waiting for the second probe and another 250 ms for the peers, one after the other.

Change: peers are asked at the first miss, while the primary is probed again; the change starts when both have spoken. One peer that reaches it still stops it.

--- a/crates/policy/src/failover.rs
+++ b/crates/policy/src/failover.rs
@@ -78,7 +78,11 @@
 #[derive(Clone, Debug)]
 enum Phase {
     Steady,
-    Suspected,
+    /// A probe was missed and peers are asked; a second miss and their word start the change.
+    Suspected {
+        missed_again: bool,
+        agreed: bool,
+    },
     Claiming {
         attempt: u64,
     },
@@ -152,7 +156,7 @@
     pub fn phase(&self) -> &'static str {
         match self.phase {
             Phase::Steady => "steady",
-            Phase::Suspected => "suspected",
+            Phase::Suspected { .. } => "suspected",
             Phase::Claiming { .. } => "claiming",
             Phase::Closing { .. } => "closing",
             Phase::Recording { .. } => "recording",
@@ -170,20 +174,26 @@
         self.retry_at
     }
 
-    /// Handles the loss of the primary, last seen at `last_seen`.
+    /// Handles a missed probe of the primary, last seen at `last_seen`.
     pub fn suspect(&mut self, now: Duration, last_seen: Duration) -> Vec<Action> {
-        if !matches!(self.phase, Phase::Steady) || now < self.hold_until {
-            return Vec::new();
+        match &mut self.phase {
+            Phase::Steady if now >= self.hold_until => {
+                self.timeline = Timeline { last_seen, suspected: now, ..Timeline::default() };
+                self.phase = Phase::Suspected { missed_again: false, agreed: false };
+                self.avoided = None;
+                vec![Action::AskPeers]
+            }
+            Phase::Suspected { missed_again, .. } => {
+                *missed_again = true;
+                self.claim_if_agreed(now)
+            }
+            _ => Vec::new(),
         }
-        self.timeline = Timeline { last_seen, suspected: now, ..Timeline::default() };
-        self.phase = Phase::Suspected;
-        self.avoided = None;
-        vec![Action::AskPeers]
     }
 
     /// Handles a sign of life of the primary: a change that has claimed nothing is given up.
     pub fn primary_alive(&mut self) {
-        if matches!(self.phase, Phase::Suspected) {
+        if matches!(self.phase, Phase::Suspected { .. }) {
             self.phase = Phase::Steady;
             self.retry_at = None;
         }
@@ -203,18 +213,18 @@
         self.claim()
     }
 
-    /// Handles what the peers said: how many agree that the primary is gone, how many deny it.
+    /// Handles what the peers said: how many of them reach the primary.
     pub fn opinions(&mut self, now: Duration, denied: usize) -> Vec<Action> {
-        if !matches!(self.phase, Phase::Suspected) {
+        let Phase::Suspected { agreed, .. } = &mut self.phase else {
             return Vec::new();
-        }
+        };
         if denied > 0 {
             self.phase = Phase::Steady;
             self.hold_until = now + DENIED_HOLD;
             return Vec::new();
         }
-        self.timeline.agreed = now;
-        self.claim()
+        *agreed = true;
+        self.claim_if_agreed(now)
     }
 
     /// Handles a read of the group object.
@@ -311,7 +321,7 @@
             Phase::Steady | Phase::Claiming { .. } | Phase::Recording { .. } => {
                 vec![Action::ReadGroup]
             }
-            Phase::Suspected | Phase::Promoting { .. } => Vec::new(),
+            Phase::Suspected { .. } | Phase::Promoting { .. } => Vec::new(),
         }
     }
 
@@ -334,12 +344,12 @@
             Phase::Recording { attempt, candidate } if unchanged => {
                 vec![self.record_update(*attempt, *candidate)]
             }
-            Phase::Steady | Phase::Suspected if group.primary.is_none() => {
+            Phase::Steady | Phase::Suspected { .. } if group.primary.is_none() => {
                 self.phase = Phase::Steady;
                 self.retry_at = Some(now + ELECTION_TIMEOUT);
                 Vec::new()
             }
-            Phase::Steady | Phase::Suspected => Vec::new(),
+            Phase::Steady | Phase::Suspected { .. } => Vec::new(),
             // A watch repeats what this node has written itself.
             Phase::Closing { .. } | Phase::Promoting { .. } if unchanged => Vec::new(),
             _ => self.yield_to_other(now),
@@ -353,6 +363,14 @@
         Vec::new()
     }
 
+    fn claim_if_agreed(&mut self, now: Duration) -> Vec<Action> {
+        if !matches!(self.phase, Phase::Suspected { missed_again: true, agreed: true }) {
+            return Vec::new();
+        }
+        self.timeline.agreed = now;
+        self.claim()
+    }
+
     fn claim(&mut self) -> Vec<Action> {
         let Some(_) = self.group else {
             self.phase = Phase::Steady;
--- a/crates/policy/src/owner/group.rs
+++ b/crates/policy/src/owner/group.rs
@@ -11,8 +11,8 @@
 const STALL_LIMIT: Duration = Duration::from_secs(1);
 /// Time for which a leaving primary may finish what it runs before it is replaced.
 const LEAVE_GRACE: Duration = Duration::from_secs(2);
-/// Misses of the primary that raise suspicion.
-const SUSPECT_MISSES: u32 = 2;
+/// Misses after which the reads on an endpoint start elsewhere.
+const SILENT_MISSES: u32 = 2;
 /// Time between two orders to an endpoint to take up its part.
 const ORDER_SPACING: Duration = Duration::from_millis(500);
 
@@ -28,7 +28,7 @@
     pub(super) fn probed(&mut self, endpoint: EndpointIndex, status: Option<Status>) {
         self.endpoints[endpoint].probed(self.now, status);
         let Some(status) = status else {
-            if self.endpoints[endpoint].misses == SUSPECT_MISSES {
+            if self.endpoints[endpoint].misses == SILENT_MISSES {
                 self.settle_silent(endpoint);
             }
             if Some(endpoint) == self.primary() {
@@ -65,9 +65,6 @@
     }
 
     pub(super) fn suspect(&mut self, endpoint: EndpointIndex) {
-        if self.endpoints[endpoint].misses < SUSPECT_MISSES {
-            return;
-        }
         let last_seen = self.endpoints[endpoint].last_seen;
         let actions = self.failover.suspect(self.now, last_seen);
         self.actions.extend(actions);
