Plot the capacity slope, and start test nodes on other addresses if one is taken

The processes test waited without end when another process took its free address before the node; it now sees that the node has exited and tries others.

--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -36,7 +36,16 @@
     listener.local_addr().expect("the socket is bound")
 }
 
+/// Starts a node; another process may take a free address first, then others are tried.
 fn start(index: usize, platform: &Platform) -> Process {
+    loop {
+        if let Some(process) = try_start(index, platform) {
+            return process;
+        }
+    }
+}
+
+fn try_start(index: usize, platform: &Platform) -> Option<Process> {
     let (caller, peer) = (free_address(), free_address());
     let vm = format!("entry-{index}");
     let text = format!(
@@ -47,18 +56,21 @@
     );
     let file = std::env::temp_dir().join(format!("node-{}-{index}.yaml", std::process::id()));
     std::fs::write(&file, text).expect("the file can be written");
-    let child = Command::new(env!("CARGO_BIN_EXE_tamarackbendd"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_tamarackbendd"))
         .arg("--settings")
         .arg(&file)
         .env("RUST_LOG", "error")
         .spawn()
         .expect("the daemon starts");
-    let failure_domain = DOMAINS[index].to_owned();
-    platform.set_vm(Vm { name: vm, failure_domain, peer_address: peer, leaving: false });
     while TcpStream::connect(caller).is_err() {
+        if child.try_wait().expect("the daemon can be waited for").is_some() {
+            return None;
+        }
         std::thread::yield_now();
     }
-    Process { child, caller }
+    let failure_domain = DOMAINS[index].to_owned();
+    platform.set_vm(Vm { name: vm, failure_domain, peer_address: peer, leaving: false });
+    Some(Process { child, caller })
 }
 
 async fn connect(address: SocketAddr) -> Option<Client> {
--- a/crates/load/src/bin/tamarackbend-load.rs
+++ b/crates/load/src/bin/tamarackbend-load.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use tamarackbend_load::{Policy, Scenario, capacity, overhead, plot, run};
+use tamarackbend_load::{Policy, Scenario, capacity, overhead, plot, plot_capacity, run};
 
 /// Exit status of a run that broke a promise.
 const EXIT_VIOLATION: u8 = 3;
@@ -45,6 +45,9 @@
         /// Sizes as NODES:DATABASES.
         #[arg(long, value_delimiter = ',', default_value = "10:9,40:9,120:9,1:9,1:30,1:90")]
         sizes: Vec<Size>,
+        /// File for a plot, as SVG.
+        #[arg(long, value_name = "OUT.svg")]
+        plot: Option<PathBuf>,
     },
     /// Compare the way through a node with an endpoint directly.
     Overhead {
@@ -101,10 +104,13 @@
         Command::Run { scenario, policy, seed, json, plot } => {
             run_scenario(&scenario, policy, seed, &json, plot.as_deref())
         }
-        Command::Capacity { json, sizes } => {
+        Command::Capacity { json, sizes, plot } => {
             let sizes: Vec<_> = sizes.iter().map(|size| (size.nodes, size.databases)).collect();
             let measured = capacity(&sizes)?;
             std::fs::write(json, serde_json::to_string_pretty(&measured)?)?;
+            if let Some(file) = plot {
+                plot_capacity(&measured, &file)?;
+            }
             print!("{}", measured.full_size);
             for point in &measured.points {
                 println!("{point}");
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -32,7 +32,7 @@
 pub use full_size::{FullSize, full_size};
 pub use idle::idle;
 pub use overhead::{Overhead, Path, overhead};
-pub use plot::plot;
+pub use plot::{plot, plot_capacity};
 pub use report::{Gap, Latency, Report, Slow};
 pub use run::{Policy, run};
 pub use scenario::{Fault, FaultKind, Rush, Scenario};
--- a/crates/load/src/plot.rs
+++ b/crates/load/src/plot.rs
@@ -5,7 +5,7 @@
 };
 
 use crate::error::Code;
-use crate::{Error, Report, Result};
+use crate::{Capacity, Error, Report, Result};
 
 const SIZE: (u32, u32) = (900, 360);
 
@@ -42,3 +42,35 @@
     area.present()?;
     Ok(())
 }
+
+/// Writes the share of a core that one node spends by the databases it owns, as SVG.
+///
+/// # Errors
+///
+/// Fails when the file cannot be written.
+pub fn plot_capacity(capacity: &Capacity, path: &std::path::Path) -> Result<()> {
+    draw_capacity(capacity, path).map_err(|error| Error::new(Code::Plot(error.to_string())))
+}
+
+fn draw_capacity(
+    capacity: &Capacity,
+    path: &std::path::Path,
+) -> std::result::Result<(), Box<dyn std::error::Error>> {
+    let single = capacity.points.iter().filter(|point| point.nodes == 1);
+    let points: Vec<(f64, f64)> =
+        single.map(|point| (point.databases as f64, point.core_share_per_node * 100.0)).collect();
+    let widest = points.iter().map(|(databases, _)| *databases).fold(1.0, f64::max);
+    let highest = points.iter().map(|(_, share)| *share).fold(1.1, f64::max);
+    let area = SVGBackend::new(path, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .caption("percent of a core by databases of one idle node", ("sans-serif", 16).into_font())
+        .margin(10)
+        .x_label_area_size(30)
+        .y_label_area_size(50)
+        .build_cartesian_2d(0.0..widest, 0.0..highest)?;
+    chart.configure_mesh().x_desc("databases").draw()?;
+    chart.draw_series(LineSeries::new(points, &BLUE))?;
+    area.present()?;
+    Ok(())
+}
