--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -1,6 +1,6 @@
 //! Retry delays and budgets.
 //!
-//! Delays grow exponentially with full jitter; a budget bounds retries to a fraction of the first
+//! Delays grow exponentially, the upper half of each at random; a budget bounds retries to a fraction of the first
 //! attempts, so a database that slows down is not asked more often for it.
 
 use std::time::Duration;
@@ -17,7 +17,7 @@
 }
 
 impl Backoff {
-    /// Returns delays between zero and `base * 2^attempt`, at most `cap`.
+    /// Returns delays from half of `base * 2^attempt` to all of it, at most `cap`.
     pub fn new(base: Duration, cap: Duration, seed: u64) -> Backoff {
         Backoff { base, cap, seed, attempt: 0 }
     }
--- /dev/null
+++ b/crates/policy/tests/history/callers.rs
@@ -0,0 +1,165 @@
+//! What callers ask for and what they are told.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use rand::RngExt;
+use tamarackbend_policy::owner::{Event, Kind, Request, Ticket, Verdict};
+use tamarackbend_policy::session::Session;
+
+use crate::fakes::RowId;
+use crate::world::{Asked, DATABASE, Item, OWNERS, Work, World};
+
+impl World {
+    pub(super) fn step_caller(&mut self, index: usize) {
+        if self.stopping || self.callers[index].busy.is_some() {
+            return;
+        }
+        let roll = self.random.random_range(0..100);
+        let roam = self.random.random_range(0..OWNERS);
+        let row = self.next_row;
+        let caller = &mut self.callers[index];
+        let work = match &mut caller.transaction {
+            Some((_, rows)) if rows.len() < 2 => {
+                self.next_row += 1;
+                rows.push(row);
+                Work::InTransaction(row)
+            }
+            Some((_, rows)) => Work::Commit(rows.clone()),
+            None if roll < 40 => {
+                self.next_row += 1;
+                Work::Write(vec![row])
+            }
+            None if roll < 50 => Work::Begin,
+            None => Work::Read,
+        };
+        if caller.transaction.is_none() {
+            caller.owner = roam;
+            if roll % 7 == 0 {
+                // A new connection that shows no token.
+                let (owner, old) = (caller.owner, caller.id);
+                caller.session = Session::new();
+                self.callers[index].id = self.new_session();
+                self.after(Duration::ZERO, Item::Owner(owner, Event::EndSession(old)));
+            }
+        }
+        self.ask(index, work);
+    }
+
+    fn ask(&mut self, index: usize, work: Work) {
+        let ticket = self.next_ticket;
+        self.next_ticket += 2;
+        let caller = &mut self.callers[index];
+        caller.number += 1;
+        let owner = caller.owner;
+        caller.busy = Some((owner, ticket));
+        let kind = if matches!(work, Work::Read) { Kind::Read } else { Kind::Write };
+        let request = Request {
+            ticket,
+            session: caller.id,
+            statement: caller.number,
+            club: format!("club-{}", index % 2),
+            kind,
+            freshness: caller.session.freshness(DATABASE),
+            max_age: None,
+            in_transaction: caller.transaction.is_some(),
+            begins: matches!(work, Work::Begin),
+            deadline: self.now + Duration::from_secs(8),
+        };
+        let session = request.session;
+        let twice = self.random.random_bool(0.05);
+        self.asked.insert(
+            (owner, ticket),
+            Asked { caller: index, session, work: work.clone(), result: vec![] },
+        );
+        let delay = self.hop();
+        self.after(delay, Item::Owner(owner, Event::Submit(request.clone())));
+        if twice {
+            // A network that repeats a frame; nobody waits for the second answer.
+            let repeated = Request { ticket: ticket + 1, ..request };
+            self.asked.insert(
+                (owner, ticket + 1),
+                Asked { caller: index, session, work, result: vec![] },
+            );
+            let delay = delay + self.hop();
+            self.after(delay, Item::Owner(owner, Event::Submit(repeated)));
+        }
+    }
+
+    pub(super) fn answered(&mut self, owner: usize, ticket: Ticket, verdict: Verdict) {
+        let Some(asked) = self.asked.remove(&(owner, ticket)) else {
+            return self.violate("two answers");
+        };
+        let index = asked.caller;
+        if self.callers[index].busy != Some((owner, ticket)) {
+            return;
+        }
+        self.callers[index].busy = None;
+        match verdict {
+            Verdict::Deliver { floor, in_transaction } => {
+                if let Some(floor) = floor {
+                    self.callers[index].session.observe(DATABASE, floor);
+                }
+                self.delivered(index, &asked, in_transaction);
+            }
+            Verdict::NotRun { .. } => {
+                self.record.not_run.extend(rows_of(&asked.work));
+                self.drop_transaction(index, true);
+            }
+            Verdict::Unknown { .. } => {
+                self.record.unknown.extend(rows_of(&asked.work));
+                self.drop_transaction(index, false);
+            }
+        }
+        let pause = Duration::from_millis(self.random.random_range(1..60));
+        self.after(pause, Item::Step(index));
+    }
+
+    fn delivered(&mut self, index: usize, asked: &Asked, in_transaction: bool) {
+        let caller = &mut self.callers[index];
+        match &asked.work {
+            Work::Write(rows) | Work::Commit(rows) => {
+                caller.acknowledged.extend(rows);
+                caller.transaction = None;
+                self.record.acknowledged.extend(rows);
+            }
+            Work::Begin => caller.transaction = Some((caller.owner, Vec::new())),
+            Work::InTransaction(_) => {
+                if !in_transaction {
+                    caller.transaction = None;
+                }
+            }
+            Work::Read => {
+                self.record.reads += 1;
+                let seen: BTreeSet<RowId> = asked.result.iter().copied().collect();
+                if !caller.acknowledged.is_subset(&seen) {
+                    self.violate("read misses own write");
+                }
+                if !seen.is_disjoint(&self.record.not_run) {
+                    self.violate("read shows what was not run");
+                }
+            }
+        }
+    }
+
+    fn drop_transaction(&mut self, index: usize, not_run: bool) {
+        let caller = &mut self.callers[index];
+        let Some((owner, rows)) = caller.transaction.take() else {
+            return;
+        };
+        let old = caller.id;
+        let outcome = if not_run { &mut self.record.not_run } else { &mut self.record.unknown };
+        outcome.extend(rows);
+        let id = self.new_session();
+        self.callers[index].id = id;
+        self.after(Duration::ZERO, Item::Owner(owner, Event::EndSession(old)));
+    }
+}
+
+fn rows_of(work: &Work) -> Vec<RowId> {
+    match work {
+        Work::Write(rows) | Work::Commit(rows) => rows.clone(),
+        Work::InTransaction(row) => vec![*row],
+        Work::Read | Work::Begin => Vec::new(),
+    }
+}
--- a/crates/policy/tests/history/main.rs
+++ b/crates/policy/tests/history/main.rs
@@ -4,6 +4,7 @@
 //! none that was not run, and each row once. Every result that a caller saw must be one that it
 //! allows. Run more histories with `HISTORIES=2000 cargo test -p tamarackbend-policy --test history`.
 
+mod callers;
 mod fakes;
 mod world;
 
--- a/crates/policy/tests/history/world.rs
+++ b/crates/policy/tests/history/world.rs
@@ -7,8 +7,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tamarackbend_policy::owner::{
-    Action, ConnectionId, Event, Finish, Guards, Kind, OpenError, Owner, Request, SessionId,
-    Settings, StatementId, Ticket, Verdict,
+    Action, ConnectionId, Event, Finish, Guards, OpenError, Owner, SessionId, Settings,
+    StatementId, Ticket,
 };
 use tamarackbend_policy::position::{EndpointIndex, Role};
 use tamarackbend_policy::session::Session;
@@ -19,7 +19,7 @@
 pub const OWNERS: usize = 2;
 const CALLERS: usize = 4;
 const SLOTS: usize = 2;
-const DATABASE: &str = "database";
+pub(super) const DATABASE: &str = "database";
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 const STATEMENT_TIMEOUT: Duration = Duration::from_millis(400);
 const TICK: Duration = Duration::from_millis(5);
@@ -42,7 +42,7 @@
 
 /// What a caller asks for.
 #[derive(Clone, Debug)]
-enum Work {
+pub(super) enum Work {
     Write(Vec<RowId>),
     Read,
     /// Statements of a transaction, in order.
@@ -52,21 +52,21 @@
 }
 
 /// Statement that waits for its verdict.
-struct Asked {
-    caller: usize,
-    session: SessionId,
-    work: Work,
-    result: Vec<RowId>,
+pub(super) struct Asked {
+    pub(super) caller: usize,
+    pub(super) session: SessionId,
+    pub(super) work: Work,
+    pub(super) result: Vec<RowId>,
 }
 
-struct Caller {
-    id: SessionId,
-    number: StatementId,
-    session: Session,
-    owner: usize,
-    transaction: Option<(usize, Vec<RowId>)>,
-    acknowledged: BTreeSet<RowId>,
-    busy: Option<(usize, Ticket)>,
+pub(super) struct Caller {
+    pub(super) id: SessionId,
+    pub(super) number: StatementId,
+    pub(super) session: Session,
+    pub(super) owner: usize,
+    pub(super) transaction: Option<(usize, Vec<RowId>)>,
+    pub(super) acknowledged: BTreeSet<RowId>,
+    pub(super) busy: Option<(usize, Ticket)>,
 }
 
 /// What the history is judged by.
@@ -80,7 +80,7 @@
     pub promotions: u64,
 }
 
-enum Item {
+pub(super) enum Item {
     Owner(usize, Event),
     Arrive { owner: usize, ticket: Ticket, connection: ConnectionId },
     Control { owner: usize, action: Action },
@@ -93,8 +93,8 @@
     pub record: Record,
     pub endpoints: Vec<Endpoint>,
     pub platform: Platform,
-    random: ChaCha8Rng,
-    now: Duration,
+    pub(super) random: ChaCha8Rng,
+    pub(super) now: Duration,
     heap: BinaryHeap<Reverse<(Duration, u64)>>,
     items: BTreeMap<u64, Item>,
     sequence: u64,
@@ -102,12 +102,12 @@
     paused: [bool; OWNERS],
     cut: BTreeSet<(usize, EndpointIndex)>,
     connections: BTreeMap<(usize, ConnectionId), (EndpointIndex, u64)>,
-    asked: BTreeMap<(usize, Ticket), Asked>,
-    callers: Vec<Caller>,
-    next_ticket: Ticket,
-    next_row: RowId,
+    pub(super) asked: BTreeMap<(usize, Ticket), Asked>,
+    pub(super) callers: Vec<Caller>,
+    pub(super) next_ticket: Ticket,
+    pub(super) next_row: RowId,
     next_session: SessionId,
-    stopping: bool,
+    pub(super) stopping: bool,
     left: BTreeMap<EndpointIndex, Duration>,
 }
 
@@ -192,21 +192,21 @@
         self.platform.group.primary.map(|primary| &self.endpoints[primary])
     }
 
-    fn violate(&mut self, promise: &str) {
+    pub(super) fn violate(&mut self, promise: &str) {
         self.record.violations.insert(promise.to_owned());
     }
 
-    fn after(&mut self, delay: Duration, item: Item) {
+    pub(super) fn after(&mut self, delay: Duration, item: Item) {
         self.sequence += 1;
         self.items.insert(self.sequence, item);
         self.heap.push(Reverse((self.now + delay, self.sequence)));
     }
 
-    fn hop(&mut self) -> Duration {
+    pub(super) fn hop(&mut self) -> Duration {
         Duration::from_micros(self.random.random_range(200..8000))
     }
 
-    fn new_session(&mut self) -> SessionId {
+    pub(super) fn new_session(&mut self) -> SessionId {
         self.next_session += 1;
         self.next_session
     }
@@ -501,156 +501,4 @@
             }
         }
     }
-
-    fn step_caller(&mut self, index: usize) {
-        if self.stopping || self.callers[index].busy.is_some() {
-            return;
-        }
-        let roll = self.random.random_range(0..100);
-        let roam = self.random.random_range(0..OWNERS);
-        let row = self.next_row;
-        let caller = &mut self.callers[index];
-        let work = match &mut caller.transaction {
-            Some((_, rows)) if rows.len() < 2 => {
-                self.next_row += 1;
-                rows.push(row);
-                Work::InTransaction(row)
-            }
-            Some((_, rows)) => Work::Commit(rows.clone()),
-            None if roll < 40 => {
-                self.next_row += 1;
-                Work::Write(vec![row])
-            }
-            None if roll < 50 => Work::Begin,
-            None => Work::Read,
-        };
-        if caller.transaction.is_none() {
-            caller.owner = roam;
-            if roll % 7 == 0 {
-                // A new connection that shows no token.
-                let (owner, old) = (caller.owner, caller.id);
-                caller.session = Session::new();
-                self.callers[index].id = self.new_session();
-                self.after(Duration::ZERO, Item::Owner(owner, Event::EndSession(old)));
-            }
-        }
-        self.ask(index, work);
-    }
-
-    fn ask(&mut self, index: usize, work: Work) {
-        let ticket = self.next_ticket;
-        self.next_ticket += 2;
-        let caller = &mut self.callers[index];
-        caller.number += 1;
-        let owner = caller.owner;
-        caller.busy = Some((owner, ticket));
-        let kind = if matches!(work, Work::Read) { Kind::Read } else { Kind::Write };
-        let request = Request {
-            ticket,
-            session: caller.id,
-            statement: caller.number,
-            club: format!("club-{}", index % 2),
-            kind,
-            freshness: caller.session.freshness(DATABASE),
-            max_age: None,
-            in_transaction: caller.transaction.is_some(),
-            begins: matches!(work, Work::Begin),
-            deadline: self.now + Duration::from_secs(8),
-        };
-        let session = request.session;
-        let twice = self.random.random_bool(0.05);
-        self.asked.insert(
-            (owner, ticket),
-            Asked { caller: index, session, work: work.clone(), result: vec![] },
-        );
-        let delay = self.hop();
-        self.after(delay, Item::Owner(owner, Event::Submit(request.clone())));
-        if twice {
-            // A network that repeats a frame; nobody waits for the second answer.
-            let repeated = Request { ticket: ticket + 1, ..request };
-            self.asked.insert(
-                (owner, ticket + 1),
-                Asked { caller: index, session, work, result: vec![] },
-            );
-            let delay = delay + self.hop();
-            self.after(delay, Item::Owner(owner, Event::Submit(repeated)));
-        }
-    }
-
-    fn answered(&mut self, owner: usize, ticket: Ticket, verdict: Verdict) {
-        let Some(asked) = self.asked.remove(&(owner, ticket)) else {
-            return self.violate("two answers");
-        };
-        let index = asked.caller;
-        if self.callers[index].busy != Some((owner, ticket)) {
-            return;
-        }
-        self.callers[index].busy = None;
-        match verdict {
-            Verdict::Deliver { floor, in_transaction } => {
-                if let Some(floor) = floor {
-                    self.callers[index].session.observe(DATABASE, floor);
-                }
-                self.delivered(index, &asked, in_transaction);
-            }
-            Verdict::NotRun { .. } => {
-                self.record.not_run.extend(rows_of(&asked.work));
-                self.drop_transaction(index, true);
-            }
-            Verdict::Unknown { .. } => {
-                self.record.unknown.extend(rows_of(&asked.work));
-                self.drop_transaction(index, false);
-            }
-        }
-        let pause = Duration::from_millis(self.random.random_range(1..60));
-        self.after(pause, Item::Step(index));
-    }
-
-    fn delivered(&mut self, index: usize, asked: &Asked, in_transaction: bool) {
-        let caller = &mut self.callers[index];
-        match &asked.work {
-            Work::Write(rows) | Work::Commit(rows) => {
-                caller.acknowledged.extend(rows);
-                caller.transaction = None;
-                self.record.acknowledged.extend(rows);
-            }
-            Work::Begin => caller.transaction = Some((caller.owner, Vec::new())),
-            Work::InTransaction(_) => {
-                if !in_transaction {
-                    caller.transaction = None;
-                }
-            }
-            Work::Read => {
-                self.record.reads += 1;
-                let seen: BTreeSet<RowId> = asked.result.iter().copied().collect();
-                if !caller.acknowledged.is_subset(&seen) {
-                    self.violate("read misses own write");
-                }
-                if !seen.is_disjoint(&self.record.not_run) {
-                    self.violate("read shows what was not run");
-                }
-            }
-        }
-    }
-
-    fn drop_transaction(&mut self, index: usize, not_run: bool) {
-        let caller = &mut self.callers[index];
-        let Some((owner, rows)) = caller.transaction.take() else {
-            return;
-        };
-        let old = caller.id;
-        let outcome = if not_run { &mut self.record.not_run } else { &mut self.record.unknown };
-        outcome.extend(rows);
-        let id = self.new_session();
-        self.callers[index].id = id;
-        self.after(Duration::ZERO, Item::Owner(owner, Event::EndSession(old)));
-    }
-}
-
-fn rows_of(work: &Work) -> Vec<RowId> {
-    match work {
-        Work::Write(rows) | Work::Commit(rows) => rows.clone(),
-        Work::InTransaction(row) => vec![*row],
-        Work::Read | Work::Begin => Vec::new(),
-    }
 }
--- /dev/null
+++ b/crates/policy/tests/regression_isolated_primary.rs
@@ -0,0 +1,52 @@
+//! A primary that answers but reaches no replica is replaced, and not by itself.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{NOW, opened, owner, status, write};
+use tamarackbend_policy::failover::Group;
+use tamarackbend_policy::owner::{Action, Event, Finish, Settings};
+use tamarackbend_policy::position::{Role, Status};
+
+fn claim(actions: &[Action]) -> Option<Group> {
+    actions.iter().find_map(|action| match action {
+        Action::UpdateGroup(group) => Some(*group),
+        _ => None,
+    })
+}
+
+#[test]
+fn isolated_primary_is_replaced_by_a_replica() {
+    let mut owner = owner(Settings::default());
+    let first = opened(&owner.step(NOW, Event::Submit(write(1)))).expect("a connection is opened");
+    owner.step(NOW, Event::Opened(first));
+    let ahead = Status { position: 6, ..status(Role::Primary) };
+    let done = Finish::Done { status: Some(ahead), in_transaction: false };
+    owner.step(NOW, Event::Finished(1, done));
+
+    // Everyone answers, but no replica gets the write.
+    let mut now = NOW;
+    let mut claimed = None;
+    while claimed.is_none() && now < Duration::from_secs(4) {
+        now += Duration::from_millis(100);
+        for endpoint in 0..3 {
+            let answer = if endpoint == 0 { ahead } else { status(Role::Replica) };
+            let actions = owner.step(now, Event::Probed(endpoint, Some(answer)));
+            claimed = claimed.or(claim(&actions));
+        }
+    }
+    let claimed = claimed.expect("the next term is claimed");
+    assert_eq!((claimed.term, claimed.primary), (2, None));
+
+    owner.step(now, Event::GroupWritten(Ok(Group { version: 2, ..claimed })));
+    let mut recorded = None;
+    for endpoint in 0..3 {
+        let position = if endpoint == 0 { 6 } else { 5 };
+        let closed = Status { closed_term: 2, position, ..status(Role::Replica) };
+        let actions = owner.step(now, Event::Closed(endpoint, Some(closed)));
+        recorded = recorded.or(claim(&actions));
+    }
+    let chosen = recorded.expect("a choice is recorded").primary;
+    assert!(matches!(chosen, Some(1 | 2)), "chosen {chosen:?}");
+}
