--- a/crates/cli/src/config.rs
+++ b/crates/cli/src/config.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 
 use tamarackbend_config::{Document, diff as changes};
-use tamarackbend_platform::{Client, Publish, Published, Store};
+use tamarackbend_objects::{Client, Publish, Published, Store};
 
 use crate::error::{Code, Error, Result};
 
--- a/crates/cli/src/endpoint.rs
+++ b/crates/cli/src/endpoint.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use tamarackbend_platform::{Client, read_group, write_group};
+use tamarackbend_objects::{Client, read_group, write_group};
 use tamarackbend_policy::failover::{Group, GroupError};
 
 use crate::error::{Code, Error, Result};
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -23,7 +23,7 @@
     /// C4005: document has {0} faults
     Faults(usize),
     /// {0}
-    Platform(tamarackbend_platform::Error),
+    Platform(tamarackbend_objects::Error),
     /// C4006: version {0} was edited but version {1} is in force; nothing was changed
     Conflict(u64, u64),
     /// C4007: file does not name the version that was edited; give it with --base
@@ -80,8 +80,8 @@
     }
 }
 
-impl From<tamarackbend_platform::Error> for Error {
-    fn from(error: tamarackbend_platform::Error) -> Error {
+impl From<tamarackbend_objects::Error> for Error {
+    fn from(error: tamarackbend_objects::Error) -> Error {
         Error::new(Code::Platform(error))
     }
 }
--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -3,7 +3,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command};
 
-use tamarackbend_platform::api::Vm;
+use tamarackbend_objects::api::Vm;
 use tamarackbend_standin::deployment::{Plan, publish};
 use tamarackbend_standin::platform::Platform;
 use tokio_postgres::{Client, NoTls};
--- a/crates/load/src/capacity.rs
+++ b/crates/load/src/capacity.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use tamarackbend_platform::{Client, Publish, Store};
+use tamarackbend_objects::{Client, Publish, Store};
 use tamarackbend_standin::deployment::Plan;
 
 use crate::error::Code;
@@ -178,7 +178,7 @@
 
 /// Changes the configuration and waits until every node has it in force.
 fn spread(fleet: &Fleet) -> Result<f64> {
-    let failed = |error: tamarackbend_platform::Error| Error::new(Code::Caller(error.to_string()));
+    let failed = |error: tamarackbend_objects::Error| Error::new(Code::Caller(error.to_string()));
     let runtime = compio::runtime::Runtime::new()?;
     let started = Instant::now();
     let version = runtime.block_on(async {
--- a/crates/load/src/faults.rs
+++ b/crates/load/src/faults.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tamarackbend_platform::api::{self, KIND_GROUP};
+use tamarackbend_objects::api::{self, KIND_GROUP};
 use tamarackbend_standin::endpoint;
 use tamarackbend_standin::platform;
 use tracing::info;
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -6,7 +6,7 @@
 
 use tamarackbend_config::{Document, Settings};
 use tamarackbend_node::{Node, Variant};
-use tamarackbend_platform::api::Vm;
+use tamarackbend_objects::api::Vm;
 use tamarackbend_standin::deployment::{Deployment, Plan, publish};
 use tamarackbend_standin::endpoint::Group;
 use tamarackbend_standin::platform::Platform;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -70,4 +70,10 @@
         let BufResult(result, _) = self.stream.write_all(bytes.to_vec()).await;
         result
     }
+
+    /// Sends all that was written and then the end of the stream.
+    pub fn close(self) {
+        // Fails only where the peer has closed first.
+        let _ = rustix::net::shutdown(&self.stream, rustix::net::Shutdown::Write);
+    }
 }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -6,8 +6,8 @@
 use compio::runtime::JoinHandle;
 use futures_channel::oneshot;
 use tamarackbend_config::Document;
-use tamarackbend_platform::api::{KIND_CONFIG, KIND_KEY, Keys as KeyObject};
-use tamarackbend_platform::{Client, Store};
+use tamarackbend_objects::api::{KIND_CONFIG, KIND_KEY, Keys as KeyObject};
+use tamarackbend_objects::{Client, Store};
 use tamarackbend_policy::retry::Backoff;
 use tracing::warn;
 
--- a/crates/node/src/entry/token.rs
+++ b/crates/node/src/entry/token.rs
@@ -8,7 +8,7 @@
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use hmac::{Hmac, Mac};
 use sha2::Sha256;
-use tamarackbend_platform::api::Key;
+use tamarackbend_objects::api::Key;
 use tamarackbend_policy::position::Floor;
 use tamarackbend_policy::session::DatabaseId;
 use tamarackbend_wire::{self as wire, Floors, Message, Token};
--- a/crates/node/src/hub/mod.rs
+++ b/crates/node/src/hub/mod.rs
@@ -19,7 +19,7 @@
 use futures_util::{FutureExt, StreamExt};
 pub(crate) use state::{OwnerState, State};
 use tamarackbend_config::{Document, Section, Settings};
-use tamarackbend_platform::{Client, api};
+use tamarackbend_objects::{Client, api};
 use tamarackbend_policy::ownership::{Table, VmId};
 use tamarackbend_policy::retry::Budget;
 use tamarackbend_wire::{Answer, Cancel, EndSession, Frame, Hello, Statement, frame::Body};
--- a/crates/node/src/hub/state.rs
+++ b/crates/node/src/hub/state.rs
@@ -70,7 +70,7 @@
         for caller in self.callers.values() {
             *callers_by_database.entry(caller.database.clone()).or_default() += 1;
         }
-        let vm = |vm: &tamarackbend_platform::api::Vm| VmState {
+        let vm = |vm: &tamarackbend_objects::api::Vm| VmState {
             name: vm.name.clone(),
             failure_domain: vm.failure_domain.clone(),
             leaving: vm.leaving || self.leaving_peers.contains_key(&vm.name),
--- a/crates/node/src/hub/view.rs
+++ b/crates/node/src/hub/view.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use futures_channel::mpsc;
-use tamarackbend_platform::api::Vm;
+use tamarackbend_objects::api::Vm;
 use tamarackbend_policy::owner::Event;
 use tamarackbend_policy::ownership::{self, Candidate, VmId};
 use tamarackbend_policy::spread;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -6,7 +6,7 @@
 use futures_channel::{mpsc, oneshot};
 use futures_util::FutureExt;
 use tamarackbend_config::Settings;
-use tamarackbend_platform::Client;
+use tamarackbend_objects::Client;
 use tamarackbend_policy::owner::{Guards, Policy};
 
 use crate::error::Code;
--- a/crates/node/src/owner/group.rs
+++ b/crates/node/src/owner/group.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use compio::runtime::JoinHandle;
-use tamarackbend_platform::api::KIND_GROUP;
-use tamarackbend_platform::{Client, read_group, write_group};
+use tamarackbend_objects::api::KIND_GROUP;
+use tamarackbend_objects::{Client, read_group, write_group};
 use tamarackbend_policy::failover::Group;
 use tamarackbend_policy::owner::Event;
 use tamarackbend_policy::position::EndpointIndex;
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -19,7 +19,7 @@
 use futures_util::{FutureExt, StreamExt};
 pub(crate) use probe::reaches;
 use tamarackbend_config::{Database, Service};
-use tamarackbend_platform::Client;
+use tamarackbend_objects::Client;
 use tamarackbend_policy::owner::{
     Action, ConnectionId, Event, Finish, Kind, Limits, Owner, Request, Settings, Ticket, Verdict,
 };
--- a/crates/platform/src/lib.rs
+++ b/crates/objects/src/lib.rs
@@ -4,7 +4,7 @@
 //! lost after its change took effect: every write carries an id by which its writer recognizes it.
 //!
 //! ```
-//! let client = tamarackbend_platform::Client::new(([127, 0, 0, 1], 7000).into());
+//! let client = tamarackbend_objects::Client::new(([127, 0, 0, 1], 7000).into());
 //! assert_eq!(client.address().port(), 7000);
 //! ```
 
@@ -13,6 +13,7 @@
 mod document;
 mod error;
 mod group;
+pub mod http;
 
 pub use client::Client;
 pub use document::{Publish, Published, Store};
--- /dev/null
+++ b/crates/router/src/endpoint.rs
@@ -0,0 +1,83 @@
+//! What a node knows of one endpoint.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::connection::Purpose;
+use crate::directory::Entry;
+use crate::message::{Command, Position, Status, Time};
+
+/// Weight of a new response time in the average.
+const RESPONSE_WEIGHT: f64 = 0.1;
+
+/// Endpoint of a service.
+#[derive(Debug)]
+pub struct Endpoint {
+    /// Its entry in the directory.
+    pub entry: Entry,
+    /// Last status, and when it was asked for.
+    pub status: Option<(Time, Status)>,
+    /// End of its applied log, and when it was heard.
+    pub applied: Option<(Time, Position)>,
+    /// Since when it does not answer.
+    pub suspect: Option<Time>,
+    /// When it was last heard.
+    pub heard: Time,
+    /// When a connection may be tried again.
+    pub connect_after: Time,
+    /// Since when it has been leaving.
+    pub leaving_since: Option<Time>,
+    /// Commands of the router that wait for a connection.
+    pub commands: VecDeque<(Command, Purpose)>,
+    /// Average time of a read, with the way to it.
+    pub response: Duration,
+    /// Whether a status is on its way.
+    pub status_asked: Option<Time>,
+    /// Whether a probe is on its way.
+    pub probe_asked: Option<Time>,
+    /// Reads below these positions were refused until the time.
+    pub lagging: Option<(Position, Time)>,
+}
+
+impl Endpoint {
+    /// Returns an endpoint of which only its entry is known; `distance` is the usual time of a
+    /// read there.
+    pub fn new(entry: Entry, distance: Duration, now: Time) -> Endpoint {
+        let leaving_since = entry.leaving.then_some(now);
+        Endpoint {
+            entry,
+            status: None,
+            applied: None,
+            suspect: None,
+            heard: now,
+            connect_after: now,
+            leaving_since,
+            commands: VecDeque::new(),
+            response: distance,
+            status_asked: None,
+            probe_asked: None,
+            lagging: None,
+        }
+    }
+
+    /// Notes an answer at `now`.
+    pub fn hear(&mut self, now: Time) {
+        self.heard = now;
+        self.suspect = None;
+    }
+
+    /// Notes how long a read took.
+    pub fn respond(&mut self, took: Duration) {
+        let average = self.response.as_secs_f64();
+        let change = (took.as_secs_f64() - average) * RESPONSE_WEIGHT;
+        self.response = Duration::from_secs_f64((average + change).max(0.0));
+    }
+
+    /// Returns whether it is likely to hold `position` at `now`.
+    pub fn may_hold(&self, position: Position, now: Time) -> bool {
+        if self.applied.is_some_and(|(_, applied)| applied >= position) {
+            return true;
+        }
+        !self.lagging.is_some_and(|(refused, until)| position >= refused && now < until)
+    }
+}
--- /dev/null
+++ b/crates/router/src/group.rs
@@ -0,0 +1,139 @@
+//! Endpoints that hold one database.
+
+use std::collections::BTreeMap;
+
+use crate::endpoint::Endpoint;
+use crate::evidence::Evidence;
+use crate::failover::{Ballot, Change};
+use crate::message::{Answer, ConnectionId, EndpointId, Role, SessionId, Status, Term, Time};
+
+/// Endpoint that leads a group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Lead {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Its term.
+    pub term: Term,
+}
+
+/// Answer of a primary that waits for evidence.
+#[derive(Debug)]
+pub struct Pending {
+    /// When it was received.
+    pub received: Time,
+    /// Whose it is, with the serial of the statement.
+    pub session: SessionId,
+    /// Serial of the statement.
+    pub serial: u64,
+    /// Where it came from.
+    pub connection: ConnectionId,
+    /// Endpoint that answered.
+    pub endpoint: EndpointId,
+    /// When the command was sent.
+    pub sent: Time,
+    /// The answer.
+    pub answer: Answer,
+}
+
+/// Group of endpoints.
+#[derive(Debug, Default)]
+pub struct Group {
+    /// Connections that one endpoint takes from all nodes together.
+    pub connections: u32,
+    /// Endpoints.
+    pub endpoints: BTreeMap<EndpointId, Endpoint>,
+    /// The primary, if it is known.
+    pub lead: Option<Lead>,
+    /// Highest term seen.
+    pub term: Term,
+    /// Since when no primary is known.
+    pub leaderless: Option<Time>,
+    /// What vouches for the primary.
+    pub evidence: Evidence,
+    /// Answers that wait for evidence.
+    pub pending: Vec<Pending>,
+    /// Sessions whose statement or transaction waits for a connection.
+    pub waiting: Vec<SessionId>,
+    /// Change of primary that this node takes part in.
+    pub change: Option<Change>,
+    /// When another change may begin.
+    pub change_after: Time,
+    /// When the votes are looked at again.
+    pub vote_after: Time,
+    /// Votes that were written and not answered.
+    pub voted: Option<Ballot>,
+    /// Last request for this group.
+    pub used: Time,
+    /// When all endpoints were last asked for their status.
+    pub surveyed: Time,
+}
+
+/// Consequence of a status.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Learned {
+    /// Nothing that matters.
+    Nothing,
+    /// The endpoint is the primary now.
+    Lead,
+    /// The primary's term is closed or over.
+    Closed,
+    /// The primary's term was open when the status was asked for.
+    Witnessed,
+    /// The endpoint believes to lead a term that is over.
+    Deposed,
+}
+
+impl Group {
+    /// Takes over the status of `id`, asked for at `asked`.
+    pub fn learn(&mut self, id: &EndpointId, asked: Time, now: Time, status: Status) -> Learned {
+        let Some(endpoint) = self.endpoints.get_mut(id) else { return Learned::Nothing };
+        endpoint.status = Some((asked, status));
+        let known = self.lead.clone();
+        self.term = self.term.max(status.term);
+        match status.role {
+            Role::Primary => {
+                let newer = known.as_ref().is_none_or(|lead| status.term > lead.term);
+                if newer && status.term >= self.term {
+                    self.lead = Some(Lead { endpoint: id.clone(), term: status.term });
+                    self.leaderless = None;
+                    self.evidence.invalidate();
+                    return Learned::Lead;
+                }
+                match known {
+                    Some(lead) if lead.endpoint != *id => Learned::Deposed,
+                    _ => Learned::Nothing,
+                }
+            }
+            Role::Replica => {
+                let Some(lead) = known else { return Learned::Nothing };
+                if lead.endpoint == *id {
+                    self.depose(now);
+                    return Learned::Closed;
+                }
+                if status.term > lead.term || status.held > lead.term {
+                    self.evidence.invalidate();
+                    return Learned::Closed;
+                }
+                self.evidence.witness(asked);
+                Learned::Witnessed
+            }
+        }
+    }
+
+    /// Forgets the primary.
+    pub fn depose(&mut self, now: Time) {
+        self.lead = None;
+        self.leaderless.get_or_insert(now);
+        self.evidence.invalidate();
+    }
+
+    /// Returns the primary's state.
+    pub fn primary(&self) -> Option<&Endpoint> {
+        self.endpoints.get(&self.lead.as_ref()?.endpoint)
+    }
+
+    /// Returns whether `id` leads, as far as is known.
+    pub fn leads(&self, id: &EndpointId) -> bool {
+        self.lead.as_ref().is_some_and(|lead| lead.endpoint == *id)
+    }
+}
--- /dev/null
+++ b/crates/router/src/router/callers.rs
@@ -0,0 +1,418 @@
+//! Requests of callers: what is answered here, what becomes an operation, and refusals.
+
+use tamarackbend_policy::code::Code;
+use tracing::{debug, warn};
+
+use super::{Action, Router};
+use crate::configuration::{Consistency, Route};
+use crate::connection::Purpose;
+use crate::message::{
+    Access, Answer, Command, ConnectionId, Fault, Order, Outcome, Request, ServiceName, SessionId,
+    State, Statement, Time,
+};
+use crate::session::{Need, Operation, Phase, Prepared, Stage, Transaction};
+use crate::settings::{RETRY_BUSY, RETRY_NO_PRIMARY};
+
+/// How long an unknown database waits for a fresh configuration before it is refused.
+const FRESH_WAIT: Time = Time::from_millis(400);
+/// Most requests of a session that wait behind one another.
+const BACKLOG_MOST: usize = 32;
+/// Least pause between two extra reads of the configuration.
+const REFRESH_INTERVAL: Time = Time::from_millis(200);
+
+impl Router {
+    pub(super) fn request(&mut self, id: SessionId, request: Request) {
+        let now = self.now;
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        session.active = now;
+        match request {
+            Request::Start { database } => self.start(id, database),
+            Request::End => {
+                self.leave(id);
+                self.actions.push(Action::Close(id));
+            }
+            Request::Malformed { reason, .. } => {
+                debug!(session = id, reason, "message is malformed");
+                if session.database.is_none() {
+                    self.reject(id, Fault::Malformed, Code::BadMessage);
+                    return;
+                }
+                self.fail_transaction(id);
+                self.refuse(id, Fault::Malformed, Code::BadMessage, None);
+            }
+            Request::Statement { id: statement_id, statement } => {
+                if session.current.is_some() && session.backlog.len() < BACKLOG_MOST {
+                    let request = Request::Statement { id: statement_id, statement };
+                    session.backlog.push_back(request);
+                    return;
+                }
+                if session.database.is_none() || session.current.is_some() {
+                    self.reject(id, Fault::Malformed, Code::BadMessage);
+                    return;
+                }
+                self.statement(id, statement_id, statement);
+            }
+        }
+    }
+
+    /// Handles the next request of the sessions that have just been answered.
+    pub(super) fn resume(&mut self) {
+        while let Some(id) = self.resumed.pop() {
+            let next = self.sessions.get_mut(&id).and_then(|session| session.backlog.pop_front());
+            if let Some(request) = next {
+                self.request(id, request);
+            }
+        }
+    }
+
+    fn start(&mut self, id: SessionId, database: String) {
+        let now = self.now;
+        let known = self.route(&database).is_some();
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        if session.database.is_some() {
+            self.reject(id, Fault::Malformed, Code::BadMessage);
+            return;
+        }
+        session.database = Some(database);
+        if known {
+            self.actions.push(Action::Welcome(id));
+            return;
+        }
+        // A configuration that has just been acknowledged may name it.
+        self.starting.push((id, now));
+        if self.refreshed.is_none_or(|at| now >= at + REFRESH_INTERVAL) {
+            self.refreshed = Some(now);
+            self.actions.push(Action::Refresh);
+        }
+    }
+
+    /// Decides on sessions whose database was not known when they began.
+    pub(super) fn resolve_starts(&mut self, fresh: bool) {
+        for (id, since) in std::mem::take(&mut self.starting) {
+            let Some(session) = self.sessions.get(&id) else { continue };
+            let database = session.database.clone().unwrap_or_default();
+            if self.route(&database).is_some() {
+                self.actions.push(Action::Welcome(id));
+            } else if self.now >= since + FRESH_WAIT || (fresh && self.now > since) {
+                self.reject(id, Fault::NoDatabase, Code::NoSuchDatabase);
+            } else {
+                self.starting.push((id, since));
+            }
+        }
+    }
+
+    fn reject(&mut self, id: SessionId, fault: Fault, code: Code) {
+        let outcome = Outcome::refusal(fault, code, None);
+        let answer =
+            Answer { rows: Vec::new(), outcome, state: State::Idle, position: None, status: None };
+        self.leave(id);
+        self.actions.push(Action::Reject(id, answer));
+    }
+
+    fn statement(&mut self, id: SessionId, statement_id: String, statement: Statement) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        if let Some(transaction) = &mut session.transaction
+            && let Phase::Failed { told } = &mut transaction.phase
+        {
+            let first = !std::mem::replace(told, true);
+            match statement {
+                Statement::Rollback => {
+                    session.transaction = None;
+                    self.reply_done(id);
+                }
+                Statement::Commit => {
+                    session.transaction = None;
+                    self.refuse(id, Fault::Aborted, Code::TransactionLost, None);
+                }
+                _ if first => self.refuse(id, Fault::Aborted, Code::TransactionLost, None),
+                _ => self.refuse(id, Fault::Malformed, Code::TransactionLost, None),
+            }
+            return;
+        }
+        match statement {
+            Statement::Begin { read_only } => self.begin(id, read_only),
+            Statement::Rollback => {
+                self.release_transaction(id);
+                self.reply_done(id);
+            }
+            Statement::Set { name, value } => {
+                session.values.insert(name, value);
+                self.reply_done(id);
+            }
+            Statement::Prepare { name, access, shape } => {
+                session.prepared.insert(name, Prepared { access, shape });
+                self.reply_done(id);
+            }
+            Statement::Close { name } => {
+                session.prepared.remove(&name);
+                self.reply_done(id);
+            }
+            Statement::Commit if session.transaction.is_none() => {
+                self.refuse(id, Fault::Malformed, Code::BadMessage, None);
+            }
+            Statement::Commit
+            | Statement::Read { .. }
+            | Statement::Write { .. }
+            | Statement::Execute { .. } => self.operate(id, statement_id, statement),
+        }
+    }
+
+    fn session_route(&self, id: SessionId) -> Option<Route> {
+        self.route(self.sessions.get(&id)?.database.as_ref()?).cloned()
+    }
+
+    fn begin(&mut self, id: SessionId, read_only: bool) {
+        let now = self.now;
+        let route = self.session_route(id);
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        if session.transaction.is_some() {
+            self.refuse(id, Fault::Malformed, Code::BadMessage, None);
+            return;
+        }
+        let Some(route) = route else {
+            self.refuse(id, Fault::NoDatabase, Code::NoSuchDatabase, None);
+            return;
+        };
+        let service = route.service.clone();
+        session.transaction = Some(Transaction {
+            route,
+            began: now,
+            opened: None,
+            read_only,
+            from_replica: false,
+            phase: Phase::Waiting,
+            wrote: false,
+            avoid: Vec::new(),
+        });
+        self.wait(&service, id);
+        self.reply_done(id);
+    }
+
+    fn operate(&mut self, id: SessionId, statement_id: String, statement: Statement) {
+        let now = self.now;
+        let route = match self.sessions.get(&id).and_then(|session| session.transaction.as_ref()) {
+            Some(transaction) => Some(transaction.route.clone()),
+            None => self.session_route(id),
+        };
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let Some(route) = route else {
+            self.refuse(id, Fault::NoDatabase, Code::NoSuchDatabase, None);
+            return;
+        };
+        let access = session.access(&statement);
+        if access.is_none() && statement != Statement::Commit {
+            self.fail_transaction(id);
+            self.refuse(id, Fault::NoStatement, Code::BadMessage, None);
+            return;
+        }
+        let read_only = session.transaction.as_ref().is_some_and(|open| open.read_only);
+        if read_only && access == Some(Access::Write) {
+            self.fail_transaction(id);
+            self.refuse(id, Fault::ReadOnly, Code::BadMessage, None);
+            return;
+        }
+        session.serial += 1;
+        let service = route.service.clone();
+        session.current = Some(Operation {
+            serial: session.serial,
+            id: statement_id,
+            statement,
+            access,
+            received: now,
+            deadline: now + route.timeout,
+            route,
+            need: Need::Primary,
+            stage: Stage::Waiting,
+            avoid: Vec::new(),
+            sent: 0,
+            answer: None,
+        });
+        self.wait(&service, id);
+    }
+
+    /// Queues a session whose statement or transaction needs a connection.
+    pub(super) fn wait(&mut self, service: &ServiceName, id: SessionId) {
+        let now = self.now;
+        let group = self.groups.entry(service.clone()).or_default();
+        group.used = now;
+        if !group.waiting.contains(&id) {
+            group.waiting.push(id);
+        }
+    }
+
+    fn reply_done(&mut self, id: SessionId) {
+        self.reply_outcome(id, Outcome::Complete(None));
+    }
+
+    pub(super) fn reply_outcome(&mut self, id: SessionId, outcome: Outcome) {
+        let Some(session) = self.sessions.get(&id) else { return };
+        let state = session.state();
+        let answer = Answer { rows: Vec::new(), outcome, state, position: None, status: None };
+        self.reply(id, answer);
+    }
+
+    /// Answers the session's statement and ends it.
+    pub(super) fn reply(&mut self, id: SessionId, mut answer: Answer) {
+        let now = self.now;
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        session.active = now;
+        let operation = session.current.take();
+        if !session.backlog.is_empty() {
+            self.resumed.push(id);
+        }
+        answer.state = session.state();
+        if let Some(operation) = operation {
+            log_outcome(now, id, &operation, &answer);
+        }
+        self.actions.push(Action::Reply(id, answer));
+    }
+
+    /// Gives up the statement of a session at its deadline.
+    pub(super) fn give_up(&mut self, id: SessionId) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let Some(operation) = session.current.clone() else { return };
+        let wrote = session.transaction.as_ref().is_some_and(|open| open.wrote);
+        let in_transaction = session.transaction.is_some();
+        let commits = operation.statement == Statement::Commit;
+        let (fault, code) = match operation.stage {
+            Stage::Waiting => {
+                let code = self.waiting_code(&operation);
+                (Fault::Busy, code)
+            }
+            Stage::Sent { .. } if commits && !wrote => (Fault::Aborted, Code::TransactionLost),
+            Stage::Sent { .. } if in_transaction && !commits => {
+                (Fault::Aborted, Code::TransactionLost)
+            }
+            Stage::Sent { .. } if operation.is_read() => (Fault::Timeout, Code::QueueTimeout),
+            Stage::Sent { .. } => (Fault::InDoubt, Code::ConfirmTimeout),
+            Stage::Confirming if operation.is_read() || (commits && !wrote) => {
+                (Fault::Busy, Code::NoPrimary)
+            }
+            Stage::Confirming => (Fault::InDoubt, Code::ConfirmTimeout),
+        };
+        let retry = match code {
+            Code::NoPrimary => Some(RETRY_NO_PRIMARY),
+            Code::QueueTimeout | Code::NoFreshEndpoint => Some(RETRY_BUSY),
+            _ => None,
+        };
+        if in_transaction {
+            self.fail_transaction(id);
+        }
+        if commits && let Some(session) = self.sessions.get_mut(&id) {
+            session.transaction = None;
+        }
+        self.refuse(id, fault, code, retry);
+    }
+
+    fn waiting_code(&self, operation: &Operation) -> Code {
+        let group = self.groups.get(&operation.route.service);
+        let reachable = group
+            .and_then(|group| group.primary())
+            .is_some_and(|primary| primary.suspect.is_none());
+        match operation.need {
+            Need::Position(_) => Code::NoFreshEndpoint,
+            _ if !reachable => Code::NoPrimary,
+            _ => Code::QueueTimeout,
+        }
+    }
+
+    /// Marks the session's transaction as failed, its caller told by the answer that follows.
+    pub(super) fn fail_transaction(&mut self, id: SessionId) {
+        self.abort_transaction(id, true);
+    }
+
+    /// Ends the session's transaction at the endpoint; its caller must still end it.
+    pub(super) fn abort_transaction(&mut self, id: SessionId, told: bool) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let pinned = session.pinned();
+        let Some(transaction) = &mut session.transaction else { return };
+        transaction.phase = Phase::Failed { told };
+        if let Some(connection) = pinned {
+            self.release(connection);
+        }
+    }
+
+    /// Ends the session's transaction without a commit.
+    fn release_transaction(&mut self, id: SessionId) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let pinned = session.pinned();
+        session.transaction = None;
+        if let Some(connection) = pinned {
+            self.release(connection);
+        }
+    }
+
+    /// Rolls back what a connection carries and frees it, or closes it if it is at work.
+    pub(super) fn release(&mut self, connection: ConnectionId) {
+        let Some(state) = self.connections.get_mut(&connection) else { return };
+        state.session = None;
+        if state.awaited.is_empty() && state.ready {
+            let rollback = Command::new(Order::Statement(Statement::Rollback));
+            self.send(connection, vec![(rollback, Purpose::Cleanup)]);
+        } else {
+            self.actions.push(Action::Disconnect(connection));
+            self.connections.remove(&connection);
+        }
+    }
+
+    pub(super) fn leave(&mut self, id: SessionId) {
+        self.release_transaction(id);
+        self.sessions.remove(&id);
+        for group in self.groups.values_mut() {
+            group.waiting.retain(|waiting| *waiting != id);
+            group.pending.retain(|pending| pending.session != id);
+        }
+    }
+
+    /// Ends transactions that rest for too long, and statements whose time is over.
+    pub(super) fn check_sessions(&mut self) {
+        let now = self.now;
+        let idle = self.configuration.as_ref().map(|known| known.transaction_idle);
+        let mut late = Vec::new();
+        let mut resting = Vec::new();
+        for (id, session) in &self.sessions {
+            match &session.current {
+                Some(operation) if now >= operation.deadline => late.push(*id),
+                Some(_) => {}
+                None => {
+                    let rests = idle.is_some_and(|idle| now >= session.active + idle);
+                    if rests && session.state() == State::Transaction {
+                        resting.push(*id);
+                    }
+                }
+            }
+        }
+        for id in late {
+            self.give_up(id);
+        }
+        for id in resting {
+            debug!(session = id, "idle transaction is ended");
+            self.abort_transaction(id, false);
+        }
+        self.resolve_starts(false);
+    }
+}
+
+/// Returns whether reads of the route may be served by replicas.
+pub(super) fn allows_replicas(consistency: Consistency) -> Option<Time> {
+    match consistency {
+        Consistency::Latest => None,
+        Consistency::Bounded(age) | Consistency::Session(age) => Some(age),
+    }
+}
+
+fn log_outcome(now: Time, session: SessionId, operation: &Operation, answer: &Answer) {
+    let waited_ms = now.saturating_sub(operation.received).as_millis() as u64;
+    let (id, service, sent) = (&operation.id, &operation.route.service, operation.sent);
+    match &answer.outcome {
+        Outcome::Complete(_) => {
+            debug!(request = %id, session, %service, need = ?operation.need, sent, waited_ms, "served");
+        }
+        Outcome::Error { fault, text } => {
+            warn!(
+                request = %id, session, %service, need = ?operation.need, stage = ?operation.stage,
+                sent, waited_ms, ?fault, text, "failed"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/router/dispatch.rs
@@ -0,0 +1,342 @@
+//! Placement: which waiting work goes to which endpoint and connection.
+
+use super::Router;
+use super::callers::allows_replicas;
+use crate::configuration::Consistency;
+use crate::connection::{Connection, Purpose};
+use crate::endpoint::Endpoint;
+use crate::group::Group;
+use crate::message::{
+    Access, Command, ConnectionId, EndpointId, Order, Position, ServiceName, SessionId, Statement,
+    Time,
+};
+use crate::session::{Need, Phase, Session, Stage};
+use crate::settings::{CONNECTIONS_BASE, CONNECTIONS_MOST, CONNECTIONS_SHARE};
+
+/// Added to the cost of the primary for reads that replicas can serve as well: writes need it.
+const PRIMARY_PENALTY: Time = Time::from_millis(10);
+/// Age at which a response time says little: the endpoint is worth another try.
+const RESPONSE_AGE: Time = Time::from_millis(1000);
+
+impl Router {
+    /// Places what waits, the most urgent first.
+    pub(super) fn dispatch_all(&mut self) {
+        let services: Vec<ServiceName> = self
+            .groups
+            .iter()
+            .filter(|(_, group)| !group.waiting.is_empty())
+            .map(|(name, _)| name.clone())
+            .collect();
+        for service in services {
+            self.dispatch(&service);
+        }
+    }
+
+    fn dispatch(&mut self, service: &ServiceName) {
+        let Some(group) = self.groups.get_mut(service) else { return };
+        let mut waiting = std::mem::take(&mut group.waiting);
+        waiting.sort_by_key(|id| self.urgency(*id));
+        let mut left = Vec::new();
+        for id in waiting {
+            if self.place(service, id) == Placed::Not {
+                left.push(id);
+            }
+        }
+        if let Some(group) = self.groups.get_mut(service) {
+            group.waiting.extend(left);
+        }
+    }
+
+    fn urgency(&self, id: SessionId) -> (u32, Time) {
+        let Some(session) = self.sessions.get(&id) else { return (u32::MAX, Time::MAX) };
+        match (&session.current, &session.transaction) {
+            (Some(operation), _) => (operation.route.priority, operation.received),
+            (None, Some(open)) => (open.route.priority, open.began),
+            (None, None) => (u32::MAX, Time::MAX),
+        }
+    }
+
+    fn place(&mut self, service: &ServiceName, id: SessionId) -> Placed {
+        let Some(session) = self.sessions.get(&id) else { return Placed::Done };
+        match session.transaction.as_ref().map(|open| open.phase) {
+            Some(Phase::Waiting) => return self.place_begin(service, id),
+            Some(Phase::Opening(_) | Phase::Failed { .. }) => return Placed::Done,
+            Some(Phase::Open(connection)) => return self.place_inside(id, connection),
+            None => {}
+        }
+        match &session.current {
+            Some(operation) if operation.stage == Stage::Waiting => self.place_single(service, id),
+            _ => Placed::Done,
+        }
+    }
+
+    fn place_begin(&mut self, service: &ServiceName, id: SessionId) -> Placed {
+        let now = self.now;
+        let Some(session) = self.sessions.get(&id) else { return Placed::Done };
+        let Some(open) = &session.transaction else { return Placed::Done };
+        let position = match open.read_only {
+            true => self.floor(session, open.route.consistency, service, open.began),
+            false => None,
+        };
+        let need = position.map_or(Need::Primary, Need::Position);
+        let avoids =
+            |endpoint: &EndpointId| open.avoid.iter().any(|(e, until)| e == endpoint && now < *until);
+        let Some(connection) = self.choose(service, need, session, &avoids, true) else {
+            self.open_connections(service, need, &avoids_of(&open.avoid, now));
+            return Placed::Not;
+        };
+        let begin = Statement::Begin { read_only: position.is_some() };
+        let command = Command::new(Order::Statement(begin)).with_after(position);
+        let mut commands = self.setup(connection, id, None);
+        commands.push((command, Purpose::Begin(id)));
+        if let Some(state) = self.connections.get_mut(&connection) {
+            state.session = Some(id);
+        }
+        if let Some(open) = self.sessions.get_mut(&id).and_then(|s| s.transaction.as_mut()) {
+            open.phase = Phase::Opening(connection);
+            open.from_replica = position.is_some();
+        }
+        self.send(connection, commands);
+        Placed::Done
+    }
+
+    fn place_inside(&mut self, id: SessionId, connection: ConnectionId) -> Placed {
+        let now = self.now;
+        let Some(session) = self.sessions.get_mut(&id) else { return Placed::Done };
+        let Some(operation) = &mut session.current else { return Placed::Done };
+        if operation.stage != Stage::Waiting {
+            return Placed::Done;
+        }
+        if operation.avoid.iter().any(|(_, until)| now < *until) {
+            return Placed::Not;
+        }
+        operation.stage = Stage::Sent { connection, at: now };
+        operation.need = Need::Transaction;
+        operation.sent += 1;
+        let writes = operation.access == Some(Access::Write);
+        if let Some(open) = &mut session.transaction {
+            open.wrote |= writes;
+        }
+        self.send_statement(id, connection, None, false);
+        Placed::Done
+    }
+
+    fn place_single(&mut self, service: &ServiceName, id: SessionId) -> Placed {
+        let now = self.now;
+        let Some(session) = self.sessions.get(&id) else { return Placed::Done };
+        let Some(operation) = &session.current else { return Placed::Done };
+        let need = match operation.access {
+            Some(Access::Read) => {
+                let consistency = operation.route.consistency;
+                self.floor(session, consistency, service, operation.received)
+                    .map_or(Need::ProvenPrimary, Need::Position)
+            }
+            _ => Need::Primary,
+        };
+        let avoids = |endpoint: &EndpointId| operation.avoids(endpoint, now);
+        let chosen = self.choose(service, need, session, &avoids, false);
+        let avoid = avoids_of(&operation.avoid, now);
+        let Some(operation) = self.sessions.get_mut(&id).and_then(|s| s.current.as_mut()) else {
+            return Placed::Done;
+        };
+        operation.need = need;
+        let Some(connection) = chosen else {
+            self.open_connections(service, need, &avoid);
+            return Placed::Not;
+        };
+        operation.stage = Stage::Sent { connection, at: now };
+        operation.sent += 1;
+        let after = match need {
+            Need::Position(position) => Some(position),
+            _ => None,
+        };
+        self.send_statement(id, connection, after, need == Need::ProvenPrimary);
+        Placed::Done
+    }
+
+    fn send_statement(
+        &mut self,
+        id: SessionId,
+        connection: ConnectionId,
+        after: Option<Position>,
+        proven: bool,
+    ) {
+        let Some(session) = self.sessions.get(&id) else { return };
+        let Some(operation) = session.current.clone() else { return };
+        let sent = match &operation.statement {
+            Statement::Execute { name, arguments } => {
+                let shared = session.prepared.get(name).map(|prepared| prepared.shared_name());
+                Statement::Execute {
+                    name: shared.unwrap_or_else(|| name.clone()),
+                    arguments: arguments.clone(),
+                }
+            }
+            other => other.clone(),
+        };
+        let mut commands = self.setup(connection, id, Some(&operation.statement));
+        let command = Command::new(Order::Statement(sent)).with_id(&operation.id).with_after(after);
+        commands.push((command, Purpose::Statement(id, operation.serial)));
+        if proven {
+            let begin = Statement::Begin { read_only: false };
+            let proof = Command::new(Order::Statement(begin));
+            let end = Command::new(Order::Statement(Statement::Rollback));
+            commands.push((proof, Purpose::Proof(id, operation.serial)));
+            commands.push((end, Purpose::Cleanup));
+        }
+        self.send(connection, commands);
+    }
+
+    fn setup(
+        &mut self,
+        connection: ConnectionId,
+        id: SessionId,
+        statement: Option<&Statement>,
+    ) -> Vec<(Command, Purpose)> {
+        let Some(state) = self.connections.get_mut(&connection) else { return Vec::new() };
+        let Some(session) = self.sessions.get(&id) else { return Vec::new() };
+        let commands = state.setup(session, statement);
+        commands.into_iter().map(|command| (command, Purpose::Setup)).collect()
+    }
+
+    /// Returns the position that a replica must hold to serve a read received at `received`; none
+    /// if only the primary can serve it.
+    fn floor(
+        &self,
+        session: &Session,
+        consistency: Consistency,
+        service: &ServiceName,
+        received: Time,
+    ) -> Option<Position> {
+        let age = allows_replicas(consistency)?;
+        let group = self.groups.get(service)?;
+        let position = group.evidence.position_since(received.saturating_sub(age))?;
+        match (consistency, session.commits.get(service)) {
+            (Consistency::Session(_), Some(own)) => Some(position.max(*own)),
+            _ => Some(position),
+        }
+    }
+
+    /// Returns a free connection to the best endpoint for `need`.
+    fn choose(
+        &self,
+        service: &ServiceName,
+        need: Need,
+        session: &Session,
+        avoids: &dyn Fn(&EndpointId) -> bool,
+        pins: bool,
+    ) -> Option<ConnectionId> {
+        let group = self.groups.get(service)?;
+        for id in self.candidates(group, need, avoids) {
+            let connections = self.connections.values().filter(|c| c.endpoint == id);
+            if pins {
+                let pinned = connections.clone().filter(|c| c.session.is_some()).count();
+                // One connection stays for short statements.
+                if pinned + 1 >= CONNECTIONS_MOST {
+                    continue;
+                }
+            }
+            let free = connections.filter(|c| c.is_free());
+            if let Some(found) = free.min_by_key(|c| c.misfit(&session.values)) {
+                return Some(found.id);
+            }
+        }
+        None
+    }
+
+    /// Returns the endpoints that can serve `need`, the best first.
+    fn candidates(
+        &self,
+        group: &Group,
+        need: Need,
+        avoids: &dyn Fn(&EndpointId) -> bool,
+    ) -> Vec<EndpointId> {
+        let now = self.now;
+        let usable = |id: &EndpointId, endpoint: &Endpoint| {
+            endpoint.suspect.is_none() && !avoids(id) && !self.has_left(endpoint)
+        };
+        match need {
+            Need::Primary | Need::ProvenPrimary | Need::Transaction => {
+                let Some(lead) = &group.lead else { return Vec::new() };
+                let primary = group.endpoints.get(&lead.endpoint);
+                match primary {
+                    Some(primary) if usable(&lead.endpoint, primary) => vec![lead.endpoint.clone()],
+                    _ => Vec::new(),
+                }
+            }
+            Need::Position(position) => {
+                let mut found: Vec<(Time, EndpointId)> = group
+                    .endpoints
+                    .iter()
+                    .filter(|(id, endpoint)| {
+                        usable(id, endpoint)
+                            && (group.leads(id)
+                                || (!endpoint.entry.leaving && endpoint.may_hold(position, now)))
+                    })
+                    .map(|(id, endpoint)| (self.cost(endpoint, group.leads(id)), id.clone()))
+                    .collect();
+                found.sort();
+                found.into_iter().map(|(_, id)| id).collect()
+            }
+        }
+    }
+
+    fn cost(&self, endpoint: &Endpoint, leads: bool) -> Time {
+        let distance = self.distance(&endpoint.entry.failure_domain);
+        let recent = endpoint.applied.is_some_and(|(at, _)| self.now < at + RESPONSE_AGE);
+        let response = match recent {
+            true => endpoint.response.max(distance / 2),
+            false => endpoint.response.min(distance),
+        };
+        response + if leads { PRIMARY_PENALTY } else { Time::ZERO }
+    }
+
+    /// Returns whether an endpoint that is leaving must get no more work.
+    pub(super) fn has_left(&self, endpoint: &Endpoint) -> bool {
+        let within = self.settings.leave_within / 2;
+        endpoint.leaving_since.is_some_and(|since| self.now >= since + within)
+    }
+
+    /// Opens a connection to the best endpoint for `need` if it may have one more.
+    fn open_connections(&mut self, service: &ServiceName, need: Need, avoid: &[EndpointId]) {
+        let Some(group) = self.groups.get(service) else { return };
+        let candidates = self.candidates(group, need, &|id| avoid.contains(id));
+        let Some(best) = candidates.into_iter().next() else { return };
+        self.open_connection(service, &best, CONNECTIONS_MOST);
+    }
+
+    /// Opens a connection to an endpoint unless one is being opened or there are enough.
+    pub(super) fn open_connection(&mut self, service: &ServiceName, id: &EndpointId, most: usize) {
+        let now = self.now;
+        let Some(group) = self.groups.get(service) else { return };
+        let Some(endpoint) = group.endpoints.get(id) else { return };
+        if now < endpoint.connect_after {
+            return;
+        }
+        let mine: Vec<&Connection> =
+            self.connections.values().filter(|c| c.endpoint == *id).collect();
+        if mine.iter().any(|c| !c.ready) || mine.len() >= most {
+            return;
+        }
+        let limit = f64::from(group.connections) * CONNECTIONS_SHARE;
+        let crowded = endpoint
+            .status
+            .is_some_and(|(_, status)| f64::from(status.connections) >= limit && limit > 0.0);
+        if mine.len() >= CONNECTIONS_BASE && crowded {
+            return;
+        }
+        self.connect(service, id);
+    }
+}
+
+fn avoids_of(avoid: &[(EndpointId, Time)], now: Time) -> Vec<EndpointId> {
+    avoid.iter().filter(|(_, until)| now < *until).map(|(id, _)| id.clone()).collect()
+}
+
+/// Whether waiting work was placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Placed {
+    /// It no longer waits.
+    Done,
+    /// It still waits.
+    Not,
+}
--- /dev/null
+++ b/crates/router/src/router/lease.rs
@@ -0,0 +1,182 @@
+//! The lease for changes of primaries, taken when one is due and given back after.
+
+use tracing::{info, warn};
+
+use super::{Action, Fetch, Router, Write};
+use crate::failover::{
+    Ballot, LEASE_EXPIRY, LEASE_RENEWAL, LEASE_VALIDITY, Lease, Record, RecordName,
+};
+use crate::message::{ServiceName, Time};
+
+/// Pause between two looks at a lease that another node holds.
+const LOOK_INTERVAL: Time = Time::from_millis(150);
+/// Longest wait for an answer of the store before it is asked again.
+const ANSWER_TIMEOUT: Time = Time::from_millis(600);
+/// Part of the validity in which no promotion is sent any more: time for it to arrive.
+const LAST_CALL: Time = Time::from_millis(250);
+
+/// What this node knows of the lease.
+#[derive(Debug)]
+pub(super) struct Holding {
+    run: u64,
+    state: State,
+    seen: Option<(u64, Time)>,
+    next: Time,
+    written: Option<(Time, Lease)>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// Not held.
+    None,
+    /// Asked for its record.
+    Reading(Time),
+    /// Wrote its record.
+    Taking(Time),
+    /// Held since it was written.
+    Held { since: Time, revision: u64, token: u64, renewing: Option<Time> },
+}
+
+impl Holding {
+    pub(super) fn new(run: u64) -> Holding {
+        Holding { run, state: State::None, seen: None, next: Time::ZERO, written: None }
+    }
+
+    /// Returns the token if the lease is surely held at `now`.
+    pub(super) fn token(&self, now: Time) -> Option<u64> {
+        match self.state {
+            State::Held { since, token, .. } if now + LAST_CALL < since + LEASE_VALIDITY => {
+                Some(token)
+            }
+            _ => None,
+        }
+    }
+}
+
+impl Router {
+    /// Takes, renews or gives back the lease.
+    pub(super) fn keep_lease(&mut self) {
+        let now = self.now;
+        let wanted = self
+            .groups
+            .values()
+            .any(|group| group.change.as_ref().is_some_and(|change| change.needs_lease()));
+        match self.holding.state {
+            State::None if wanted && now >= self.holding.next => {
+                self.holding.state = State::Reading(now);
+                self.actions.push(Action::Fetch(RecordName::Lease));
+            }
+            State::None => {}
+            State::Reading(since) | State::Taking(since) if now >= since + ANSWER_TIMEOUT => {
+                self.holding.state = State::None;
+            }
+            State::Reading(_) | State::Taking(_) => {}
+            State::Held { since, .. } if now >= since + LEASE_VALIDITY => {
+                warn!("lease has run out");
+                self.holding.state = State::None;
+            }
+            State::Held { revision, .. } if !wanted => {
+                info!(revision, "lease is given back");
+                self.holding.state = State::None;
+                let free = Record::Lease(Lease::default());
+                self.actions.push(Action::Write(RecordName::Lease, Some(revision), free));
+            }
+            State::Held { since, revision, token, renewing } => {
+                let due = now >= since + LEASE_RENEWAL;
+                if due && renewing.is_none_or(|at| now >= at + ANSWER_TIMEOUT) {
+                    let state = State::Held { since, revision, token, renewing: Some(now) };
+                    self.holding.state = state;
+                    self.write_lease(Some(revision), token);
+                }
+            }
+        }
+    }
+
+    fn write_lease(&mut self, revision: Option<u64>, token: u64) {
+        let holder = self.settings.node.clone();
+        let lease = Lease { holder, run: self.holding.run, token };
+        self.holding.written = Some((self.now, lease.clone()));
+        self.actions.push(Action::Write(RecordName::Lease, revision, Record::Lease(lease)));
+    }
+
+    pub(super) fn fetched(&mut self, name: &RecordName, fetch: Fetch) {
+        match name {
+            RecordName::Lease => self.lease_read(fetch),
+            RecordName::Ballot(service) => {
+                let (revision, ballot) = match fetch {
+                    Fetch::Found(revision, Record::Ballot(ballot)) => (Some(revision), ballot),
+                    Fetch::Found(revision, _) => (Some(revision), Ballot::default()),
+                    Fetch::Missing => (None, Ballot::default()),
+                    Fetch::Failed => return,
+                };
+                self.ballot_read(service, revision, &ballot);
+            }
+        }
+    }
+
+    fn lease_read(&mut self, fetch: Fetch) {
+        let now = self.now;
+        if !matches!(self.holding.state, State::Reading(_)) {
+            return;
+        }
+        self.holding.state = State::None;
+        self.holding.next = now + LOOK_INTERVAL;
+        let (revision, lease) = match fetch {
+            Fetch::Found(revision, Record::Lease(lease)) => (Some(revision), lease),
+            Fetch::Found(revision, _) => (Some(revision), Lease::default()),
+            Fetch::Missing => (None, Lease::default()),
+            Fetch::Failed => return,
+        };
+        let since = match (self.holding.seen, revision) {
+            (Some((seen, since)), Some(revision)) if seen == revision => since,
+            (_, Some(revision)) => {
+                self.holding.seen = Some((revision, now));
+                now
+            }
+            (_, None) => now,
+        };
+        let free = lease.holder.is_empty();
+        let mine = lease.holder == self.settings.node;
+        let over = now >= since + LEASE_EXPIRY;
+        if free || mine || over {
+            info!(holder = lease.holder, revision, over, "lease is taken");
+            self.holding.state = State::Taking(now);
+            self.write_lease(revision, 0);
+        }
+    }
+
+    pub(super) fn written(&mut self, name: &RecordName, write: &Write) {
+        match name {
+            RecordName::Lease => self.lease_written(write),
+            RecordName::Ballot(service) => self.ballot_written(service, write),
+        }
+    }
+
+    fn lease_written(&mut self, write: &Write) {
+        let Some((at, lease)) = self.holding.written.take() else { return };
+        let is_renewal = matches!(self.holding.state, State::Held { .. });
+        if !is_renewal && !matches!(self.holding.state, State::Taking(_)) {
+            return;
+        }
+        match write {
+            Write::Done(revision) => {
+                let token = if lease.token == 0 { *revision } else { lease.token };
+                self.holding.state =
+                    State::Held { since: at, revision: *revision, token, renewing: None };
+                if !is_renewal {
+                    info!(token, "lease is held");
+                }
+                let services: Vec<ServiceName> = self.groups.keys().cloned().collect();
+                for service in services {
+                    self.advance_change(&service);
+                }
+            }
+            Write::Conflict => {
+                self.holding.state = State::None;
+                self.holding.next = self.now;
+            }
+            Write::Failed if is_renewal => {}
+            Write::Failed => self.holding.state = State::None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/router/mod.rs
@@ -0,0 +1,395 @@
+//! State of a node and the events that change it.
+
+mod answers;
+mod callers;
+mod dispatch;
+mod lease;
+mod probes;
+mod promotion;
+
+use std::collections::{BTreeMap, HashMap};
+
+use tamarackbend_policy::code::Code;
+use tracing::info;
+
+use crate::configuration::{Configuration, Route};
+use crate::connection::{Awaited, Connection, Purpose};
+use crate::directory::{self, Directory, Entry};
+use crate::endpoint::Endpoint;
+use crate::failover::{Promotion, Record, RecordName};
+use crate::group::Group;
+use crate::message::{
+    Answer, Command, ConnectionId, EndpointId, Fault, Position, Request, Role, ServiceName,
+    SessionId, Time,
+};
+use crate::session::Session;
+use crate::settings::{CONNECT_TIMEOUT, PAUSE_GAP, Settings};
+
+use lease::Holding;
+
+/// What has happened.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// A caller has connected.
+    Opened(SessionId),
+    /// A caller sent a message.
+    Request(SessionId, Request),
+    /// A caller is gone.
+    Left(SessionId),
+    /// An endpoint accepted a connection; holds the end of its log.
+    Connected(ConnectionId, Option<Position>),
+    /// An endpoint answered the next command.
+    Answered(ConnectionId, Answer),
+    /// A connection is lost or was refused.
+    Lost(ConnectionId, Loss),
+    /// The directory changed.
+    Directory(directory::Change),
+    /// The store was away and is back.
+    StoreBack,
+    /// The store does not answer.
+    StoreAway,
+    /// A configuration was read.
+    Configured(Configuration),
+    /// A record was read.
+    Fetched(RecordName, Fetch),
+    /// A record was written, or not.
+    Written(RecordName, Write),
+    /// The platform answered a promotion.
+    Promoted(ServiceName, Promotion),
+    /// The process is to stop.
+    Stop,
+    /// Time has passed.
+    Tick,
+}
+
+/// Why a connection ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Loss {
+    /// It broke, or nobody listens.
+    Broken,
+    /// The endpoint refused it.
+    Refused(Fault),
+}
+
+/// Result of reading a record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fetch {
+    /// Its revision and content.
+    Found(u64, Record),
+    /// There is none.
+    Missing,
+    /// No answer.
+    Failed,
+}
+
+/// Result of writing a record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Write {
+    /// Its new revision.
+    Done(u64),
+    /// It had another revision.
+    Conflict,
+    /// No answer: it may have been written, or may be later.
+    Failed,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Tell a caller that its session is open.
+    Welcome(SessionId),
+    /// Refuse a caller's session and close it.
+    Reject(SessionId, Answer),
+    /// Answer a caller's statement.
+    Reply(SessionId, Answer),
+    /// Close a caller's connection.
+    Close(SessionId),
+    /// Connect to an endpoint.
+    Connect {
+        /// Name of the new connection.
+        connection: ConnectionId,
+        /// The endpoint.
+        entry: Entry,
+    },
+    /// Send commands to an endpoint.
+    Send(ConnectionId, Vec<Command>),
+    /// Close a connection to an endpoint.
+    Disconnect(ConnectionId),
+    /// Read a record.
+    Fetch(RecordName),
+    /// Write a record if it has this revision, or create it.
+    Write(RecordName, Option<u64>, Record),
+    /// Ask the platform to promote an endpoint.
+    Promote {
+        /// Group of the endpoint.
+        service: ServiceName,
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Fencing token.
+        token: u64,
+    },
+    /// Read the configuration now.
+    Refresh,
+    /// Tell the balancer whether to send callers.
+    Ready(bool),
+    /// End the process.
+    Exit,
+}
+
+/// Decisions of one node.
+#[derive(Debug)]
+pub struct Router {
+    settings: Settings,
+    now: Time,
+    actions: Vec<Action>,
+    configuration: Option<Configuration>,
+    directory: Directory,
+    groups: BTreeMap<ServiceName, Group>,
+    sessions: HashMap<SessionId, Session>,
+    connections: BTreeMap<ConnectionId, Connection>,
+    next_connection: ConnectionId,
+    starting: Vec<(SessionId, Time)>,
+    resumed: Vec<SessionId>,
+    refreshed: Option<Time>,
+    holding: Holding,
+    store_away: Option<Time>,
+    stopping: Option<Time>,
+    ready: bool,
+}
+
+impl Router {
+    /// Returns the router of a node that has just started; `run` tells its runs apart.
+    pub fn new(settings: Settings, run: u64, now: Time) -> Router {
+        Router {
+            settings,
+            now,
+            actions: Vec::new(),
+            configuration: None,
+            directory: Directory::default(),
+            groups: BTreeMap::new(),
+            sessions: HashMap::new(),
+            connections: BTreeMap::new(),
+            next_connection: 1,
+            starting: Vec::new(),
+            resumed: Vec::new(),
+            refreshed: None,
+            holding: Holding::new(run),
+            store_away: None,
+            stopping: None,
+            ready: false,
+        }
+    }
+
+    /// Takes over `event` and returns what is to be done.
+    pub fn step(&mut self, now: Time, event: Event) -> Vec<Action> {
+        self.advance_clock(now);
+        match event {
+            Event::Opened(session) => {
+                self.sessions.insert(session, Session { active: now, ..Session::default() });
+            }
+            Event::Request(session, request) => self.request(session, request),
+            Event::Left(session) => self.leave(session),
+            Event::Connected(connection, position) => self.connected(connection, position),
+            Event::Answered(connection, answer) => self.answered(connection, answer),
+            Event::Lost(connection, loss) => self.lost(connection, &loss),
+            Event::Directory(change) => self.directory_changed(change),
+            Event::StoreAway => {
+                self.store_away.get_or_insert(now);
+            }
+            Event::StoreBack => {
+                self.store_away = None;
+                self.directory.restart_grace(now);
+            }
+            Event::Configured(configuration) => self.configured(configuration),
+            Event::Fetched(name, fetch) => self.fetched(&name, fetch),
+            Event::Written(name, write) => self.written(&name, &write),
+            Event::Promoted(service, promotion) => self.promoted(&service, promotion),
+            Event::Stop => self.stop(),
+            Event::Tick => self.tick(),
+        }
+        self.resume();
+        self.dispatch_all();
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns whether something waits for time to pass, so that ticks should come often.
+    pub fn is_busy(&self) -> bool {
+        self.groups.values().any(|group| {
+            !group.waiting.is_empty() || !group.pending.is_empty() || group.change.is_some()
+        })
+    }
+
+    fn advance_clock(&mut self, now: Time) {
+        let gap = now.saturating_sub(self.now);
+        self.now = now;
+        if gap < PAUSE_GAP {
+            return;
+        }
+        // The process did not run: silence of others in that time proves nothing.
+        info!(gap_ms = gap.as_millis() as u64, "process was paused");
+        for group in self.groups.values_mut() {
+            for endpoint in group.endpoints.values_mut() {
+                endpoint.heard = now;
+                endpoint.status_asked = None;
+                endpoint.probe_asked = None;
+                if endpoint.suspect.is_some() {
+                    endpoint.suspect = Some(now);
+                }
+            }
+        }
+        for connection in self.connections.values_mut() {
+            connection.opened = connection.opened.max(now.saturating_sub(CONNECT_TIMEOUT / 2));
+        }
+    }
+
+    fn configured(&mut self, configuration: Configuration) {
+        let known = self.configuration.as_ref().map(|known| known.version);
+        if known.is_some_and(|known| known >= configuration.version) {
+            return;
+        }
+        info!(version = configuration.version, before = known, "configuration is in force");
+        for service in &configuration.services {
+            let group = self.groups.entry(service.name.clone()).or_default();
+            group.connections = service.connections;
+        }
+        self.configuration = Some(configuration);
+        self.resolve_starts(true);
+    }
+
+    fn route(&self, database: &str) -> Option<&Route> {
+        self.configuration.as_ref()?.routes.get(database)
+    }
+
+    fn directory_changed(&mut self, change: directory::Change) {
+        for effect in self.directory.apply(self.now, change) {
+            self.apply_effect(effect);
+        }
+    }
+
+    fn apply_effect(&mut self, effect: directory::Effect) {
+        match effect {
+            directory::Effect::Updated(entry) => self.endpoint_updated(entry),
+            directory::Effect::Removed(entry) => self.endpoint_removed(&entry),
+        }
+    }
+
+    fn endpoint_updated(&mut self, entry: Entry) {
+        info!(
+            service = %entry.service, endpoint = %entry.id, address = %entry.address,
+            role = ?entry.role, leaving = entry.leaving, "endpoint is listed"
+        );
+        let now = self.now;
+        let distance = self.distance(&entry.failure_domain);
+        let (service, id) = (entry.service.clone(), entry.id.clone());
+        let group = self.groups.entry(service.clone()).or_default();
+        let leads = group.leads(&id);
+        let moved = group.endpoints.get(&id).is_some_and(|known| {
+            known.entry.address != entry.address || known.entry.incarnation != entry.incarnation
+        });
+        if moved {
+            self.remove_endpoint(&service, &id, "it has restarted");
+        }
+        let group = self.groups.entry(service.clone()).or_default();
+        let ask = (entry.role == Role::Primary) != leads;
+        match group.endpoints.get_mut(&id) {
+            Some(known) => {
+                if entry.leaving {
+                    known.leaving_since.get_or_insert(now);
+                } else {
+                    known.leaving_since = None;
+                }
+                known.entry = entry;
+            }
+            None => {
+                group.endpoints.insert(id.clone(), Endpoint::new(entry, distance, now));
+            }
+        }
+        if group.lead.is_none() {
+            group.leaderless.get_or_insert(now);
+        }
+        if ask {
+            self.ask_status(&service, &id);
+        }
+    }
+
+    fn endpoint_removed(&mut self, entry: &Entry) {
+        info!(service = %entry.service, endpoint = %entry.id, "endpoint is gone");
+        self.remove_endpoint(&entry.service, &entry.id, "it is gone from the directory");
+    }
+
+    fn remove_endpoint(&mut self, service: &ServiceName, id: &EndpointId, why: &str) {
+        let now = self.now;
+        for connection in self.connections_of(id) {
+            self.disconnect(connection, why);
+        }
+        if let Some(group) = self.groups.get_mut(service) {
+            group.endpoints.remove(id);
+            if group.leads(id) {
+                group.depose(now);
+            }
+        }
+    }
+
+    fn connections_of(&self, id: &EndpointId) -> Vec<ConnectionId> {
+        self.connections.values().filter(|c| c.endpoint == *id).map(|c| c.id).collect()
+    }
+
+    /// Sends commands and remembers why.
+    fn send(&mut self, connection: ConnectionId, commands: Vec<(Command, Purpose)>) {
+        let now = self.now;
+        let Some(state) = self.connections.get_mut(&connection) else { return };
+        let mut sent = Vec::with_capacity(commands.len());
+        for (command, purpose) in commands {
+            state.awaited.push_back(Awaited { sent: now, purpose });
+            sent.push(command);
+        }
+        self.actions.push(Action::Send(connection, sent));
+    }
+
+    fn connect(&mut self, service: &ServiceName, id: &EndpointId) {
+        let Some(entry) = self.groups.get(service).and_then(|group| group.endpoints.get(id)) else {
+            return;
+        };
+        let entry = entry.entry.clone();
+        let connection = self.next_connection;
+        self.next_connection += 1;
+        let state = Connection::new(connection, service.clone(), id.clone(), self.now);
+        self.connections.insert(connection, state);
+        self.actions.push(Action::Connect { connection, entry });
+    }
+
+    fn disconnect(&mut self, connection: ConnectionId, why: &str) {
+        if self.connections.contains_key(&connection) {
+            tracing::debug!(connection, why, "connection is closed");
+            self.actions.push(Action::Disconnect(connection));
+            self.drop_connection(connection);
+        }
+    }
+
+    fn endpoint_mut(&mut self, service: &ServiceName, id: &EndpointId) -> Option<&mut Endpoint> {
+        self.groups.get_mut(service)?.endpoints.get_mut(id)
+    }
+
+    /// Returns the usual time of a short read at an endpoint in `failure_domain`.
+    fn distance(&self, failure_domain: &str) -> Time {
+        /// Way there and back within a failure domain, a region, and between regions, with work.
+        const NEAR: Time = Time::from_millis(20);
+        const REGION: Time = Time::from_millis(24);
+        const FAR: Time = Time::from_millis(38);
+        let region = |name: &str| self.settings.regions.get(name);
+        if failure_domain == self.settings.failure_domain {
+            NEAR
+        } else if region(failure_domain).is_some()
+            && region(failure_domain) == region(&self.settings.failure_domain)
+        {
+            REGION
+        } else {
+            FAR
+        }
+    }
+
+    fn refuse(&mut self, session: SessionId, fault: Fault, code: Code, retry: Option<Time>) {
+        let outcome = crate::message::Outcome::refusal(fault, code, retry);
+        self.reply_outcome(session, outcome);
+    }
+}
--- /dev/null
+++ b/crates/router/src/router/probes.rs
@@ -0,0 +1,312 @@
+//! What is asked of endpoints without a caller's request, and what happens as time passes.
+
+use tracing::info;
+
+use super::{Action, Router};
+use crate::connection::Purpose;
+use crate::message::{
+    Command, ConnectionId, EndpointId, Order, ServiceName, SessionId, State, Statement, Time,
+};
+use crate::session::Phase;
+use crate::settings::{
+    CONNECT_TIMEOUT, CONNECTIONS_MOST, EVIDENCE_INTERVAL, LEAVE_ROTATION, POSITION_INTERVAL,
+    PROBE_AFTER, PROBE_TIMEOUT,
+};
+
+/// Time without requests after which a group is no longer sampled.
+const GROUP_IDLE: Time = Time::from_secs(3);
+/// Time after which an unanswered status is asked for again.
+const STATUS_TIMEOUT: Time = Time::from_millis(250);
+/// Pause between two surveys of a group without primary.
+const SURVEY_INTERVAL: Time = Time::from_millis(120);
+/// Silence of a suspected endpoint after which its connections without writes are closed.
+const SILENCE_MOST: Time = Time::from_millis(1500);
+/// Part of the time to stop that is left for the process to end.
+const STOP_RESERVE: Time = Time::from_millis(700);
+
+impl Router {
+    pub(super) fn tick(&mut self) {
+        for effect in self.directory.expire(self.now) {
+            self.apply_effect(effect);
+        }
+        self.check_sessions();
+        let services: Vec<ServiceName> = self.groups.keys().cloned().collect();
+        for service in &services {
+            self.check_connections(service);
+            self.sample(service);
+        }
+        self.check_primaries();
+        self.check_ready();
+        self.check_stop();
+    }
+
+    fn check_ready(&mut self) {
+        let known = self.configuration.is_some()
+            && self.groups.values().any(|group| !group.endpoints.is_empty());
+        if known && !self.ready && self.stopping.is_none() {
+            info!("node is ready");
+            self.ready = true;
+            self.actions.push(Action::Ready(true));
+        }
+    }
+
+    /// Opens, suspects and closes connections of a group's endpoints.
+    fn check_connections(&mut self, service: &ServiceName) {
+        let now = self.now;
+        let Some(group) = self.groups.get(service) else { return };
+        let ids: Vec<EndpointId> = group.endpoints.keys().cloned().collect();
+        for id in ids {
+            self.check_opening(service, &id);
+            self.check_silence(service, &id);
+            let connections = self.connections_of(&id);
+            let Some(endpoint) = self.endpoint_mut(service, &id) else { continue };
+            let waits = endpoint.suspect.is_some() || !endpoint.commands.is_empty();
+            let gone = endpoint.leaving_since.is_some() && connections.is_empty();
+            if (connections.is_empty() && !gone) || waits {
+                self.open_connection(service, &id, CONNECTIONS_MOST + 1);
+            }
+            let Some(endpoint) = self.endpoint_mut(service, &id) else { continue };
+            if endpoint.status_asked.is_some_and(|asked| now >= asked + STATUS_TIMEOUT) {
+                endpoint.status_asked = None;
+            }
+        }
+    }
+
+    fn check_opening(&mut self, service: &ServiceName, id: &EndpointId) {
+        let now = self.now;
+        let late: Vec<ConnectionId> = self
+            .connections
+            .values()
+            .filter(|c| c.endpoint == *id && !c.ready && now >= c.opened + CONNECT_TIMEOUT)
+            .map(|c| c.id)
+            .collect();
+        for connection in late {
+            self.disconnect(connection, "it was not established in time");
+            if let Some(endpoint) = self.endpoint_mut(service, id)
+                && now >= endpoint.heard + CONNECT_TIMEOUT
+            {
+                self.suspect(service, id);
+            }
+        }
+    }
+
+    fn check_silence(&mut self, service: &ServiceName, id: &EndpointId) {
+        let now = self.now;
+        let waits = self.connections.values().any(|c| {
+            c.endpoint == *id
+                && c.awaited.front().is_some_and(|front| now >= front.sent + PROBE_AFTER)
+        });
+        let Some(endpoint) = self.endpoint_mut(service, id) else { return };
+        if waits && now >= endpoint.heard + PROBE_AFTER && endpoint.probe_asked.is_none() {
+            self.probe(service, id);
+            return;
+        }
+        let silent = endpoint
+            .probe_asked
+            .is_some_and(|asked| now >= asked + PROBE_TIMEOUT && endpoint.heard < asked);
+        if silent && endpoint.suspect.is_none() {
+            self.suspect(service, id);
+        }
+        let Some(endpoint) = self.endpoint_mut(service, id) else { return };
+        let dead = endpoint.suspect.is_some_and(|since| now >= since + SILENCE_MOST);
+        if dead {
+            let idle: Vec<ConnectionId> = self
+                .connections
+                .values()
+                .filter(|c| c.endpoint == *id && c.ready && now >= c.heard + SILENCE_MOST)
+                .map(|c| c.id)
+                .collect();
+            for connection in idle {
+                if !self.carries_write(connection) {
+                    self.disconnect(connection, "the endpoint is silent");
+                }
+            }
+        }
+    }
+
+    fn carries_write(&self, connection: ConnectionId) -> bool {
+        let Some(state) = self.connections.get(&connection) else { return false };
+        state.awaited.iter().any(|awaited| match awaited.purpose {
+            Purpose::Statement(session, serial) => self.is_awaited_write(session, serial),
+            _ => false,
+        })
+    }
+
+    fn is_awaited_write(&self, session: SessionId, serial: u64) -> bool {
+        let operation = self.sessions.get(&session).and_then(|session| session.current.as_ref());
+        operation.is_some_and(|operation| operation.serial == serial && !operation.is_read())
+    }
+
+    fn suspect(&mut self, service: &ServiceName, id: &EndpointId) {
+        let now = self.now;
+        let Some(endpoint) = self.endpoint_mut(service, id) else { return };
+        let silent_ms = now.saturating_sub(endpoint.heard).as_millis() as u64;
+        info!(%service, endpoint = %id, silent_ms, "endpoint does not answer");
+        endpoint.suspect.get_or_insert(now);
+        self.move_reads(service, id);
+    }
+
+    /// Keeps evidence and positions recent while the group is used.
+    fn sample(&mut self, service: &ServiceName) {
+        let now = self.now;
+        let Some(group) = self.groups.get(service) else { return };
+        if group.lead.is_none() {
+            if now >= group.surveyed + SURVEY_INTERVAL {
+                self.survey(service);
+            }
+            return;
+        }
+        let idle = now >= group.used + GROUP_IDLE;
+        let stretch = if idle { 10 } else { 1 };
+        let evidence_due =
+            group.evidence.witnessed().is_none_or(|at| now >= at + EVIDENCE_INTERVAL * stretch);
+        let position_due =
+            group.evidence.sampled().is_none_or(|at| now >= at + POSITION_INTERVAL * stretch);
+        if evidence_due || !group.pending.is_empty() {
+            self.seek_evidence(service);
+        }
+        let Some(group) = self.groups.get(service) else { return };
+        if let Some(lead) = group.lead.as_ref().map(|lead| lead.endpoint.clone())
+            && position_due
+            && group.primary().is_some_and(|primary| primary.probe_asked.is_none())
+        {
+            self.probe(service, &lead);
+        }
+    }
+
+    /// Asks another endpoint whether the primary's term is still open.
+    pub(super) fn seek_evidence(&mut self, service: &ServiceName) {
+        let now = self.now;
+        let Some(group) = self.groups.get(service) else { return };
+        let asked = group.endpoints.values().any(|endpoint| {
+            !group.leads(&endpoint.entry.id)
+                && endpoint.status_asked.is_some_and(|at| now < at + STATUS_TIMEOUT)
+        });
+        if asked {
+            return;
+        }
+        let witness = group
+            .endpoints
+            .iter()
+            .filter(|(id, endpoint)| !group.leads(id) && endpoint.suspect.is_none())
+            .min_by_key(|(_, endpoint)| {
+                let stale = endpoint.status.map(|(at, _)| now.saturating_sub(at) > GROUP_IDLE);
+                (stale == Some(true), self.distance(&endpoint.entry.failure_domain))
+            })
+            .map(|(id, _)| id.clone());
+        if let Some(id) = witness {
+            self.ask_status(service, &id);
+        }
+    }
+
+    /// Asks all endpoints of a group for their status.
+    pub(super) fn survey(&mut self, service: &ServiceName) {
+        let now = self.now;
+        let Some(group) = self.groups.get_mut(service) else { return };
+        group.surveyed = now;
+        let ids: Vec<EndpointId> = group.endpoints.keys().cloned().collect();
+        for id in ids {
+            self.ask_status(service, &id);
+        }
+    }
+
+    pub(super) fn ask_status(&mut self, service: &ServiceName, id: &EndpointId) {
+        let now = self.now;
+        let Some(endpoint) = self.endpoint_mut(service, id) else { return };
+        if endpoint.status_asked.is_some() {
+            return;
+        }
+        endpoint.status_asked = Some(now);
+        endpoint.commands.push_back((Command::new(Order::Status), Purpose::Status));
+        self.serve_commands(service, id);
+    }
+
+    /// Asks an endpoint for proof that it lives, and leads, without using a slot.
+    fn probe(&mut self, service: &ServiceName, id: &EndpointId) {
+        let now = self.now;
+        let Some(group) = self.groups.get_mut(service) else { return };
+        let read_only = !group.leads(id);
+        let Some(endpoint) = group.endpoints.get_mut(id) else { return };
+        endpoint.probe_asked = Some(now);
+        let begin = Order::Statement(Statement::Begin { read_only });
+        endpoint.commands.push_back((Command::new(begin), Purpose::Probe));
+        self.serve_commands(service, id);
+    }
+
+    /// Sends the router's own commands to an endpoint over a free connection.
+    pub(super) fn serve_commands(&mut self, service: &ServiceName, id: &EndpointId) {
+        let Some(endpoint) = self.endpoint_mut(service, id) else { return };
+        if endpoint.commands.is_empty() {
+            return;
+        }
+        let free = self.connections.values().find(|c| c.endpoint == *id && c.is_free());
+        let Some(connection) = free.map(|c| c.id) else {
+            self.open_connection(service, id, CONNECTIONS_MOST + 1);
+            return;
+        };
+        let Some(endpoint) = self.endpoint_mut(service, id) else { return };
+        let mut commands = Vec::new();
+        for (command, purpose) in endpoint.commands.drain(..) {
+            let ends = purpose == Purpose::Probe;
+            commands.push((command, purpose));
+            if ends {
+                let rollback = Command::new(Order::Statement(Statement::Rollback));
+                commands.push((rollback, Purpose::Cleanup));
+            }
+        }
+        self.send(connection, commands);
+    }
+
+    /// Lets callers go while the process is stopping.
+    fn check_stop(&mut self) {
+        let now = self.now;
+        let Some(since) = self.stopping else { return };
+        let within = self.settings.stop_within;
+        if now >= since + within.saturating_sub(STOP_RESERVE) {
+            let late: Vec<SessionId> =
+                self.sessions.iter().filter(|(_, s)| s.current.is_some()).map(|(id, _)| *id).collect();
+            for id in late {
+                self.give_up(id);
+            }
+            info!(sessions = self.sessions.len(), "node ends");
+            self.actions.push(Action::Exit);
+            return;
+        }
+        if now < since + LEAVE_ROTATION {
+            return;
+        }
+        if now >= since + within / 2 {
+            self.abort_resting();
+        }
+        let idle: Vec<SessionId> = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| session.current.is_none() && session.transaction.is_none())
+            .map(|(id, _)| *id)
+            .collect();
+        for id in idle {
+            self.leave(id);
+            self.actions.push(Action::Close(id));
+        }
+        if self.sessions.is_empty() {
+            info!("node ends, its callers have gone");
+            self.actions.push(Action::Exit);
+        }
+    }
+
+    fn abort_resting(&mut self) {
+        let resting: Vec<SessionId> = self
+            .sessions
+            .iter()
+            .filter(|(_, s)| s.current.is_none() && s.state() == State::Transaction)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in resting {
+            self.abort_transaction(id, false);
+        }
+        debug_assert!(self.sessions.values().all(|session| {
+            session.current.is_some()
+                || !matches!(session.transaction.as_ref().map(|t| t.phase), Some(Phase::Open(_)))
+        }));
+    }
+}
--- /dev/null
+++ b/crates/router/src/router/promotion.rs
@@ -0,0 +1,234 @@
+//! When a primary is to be replaced, and the steps of doing so.
+
+use tracing::{info, warn};
+
+use super::{Action, Router};
+use crate::connection::Purpose;
+use crate::failover::{
+    Ballot, Change, Promotion, Reason, Record, RecordName, Step, VOTE_INTERVAL, View,
+};
+use crate::group::Lead;
+use crate::message::{Command, EndpointId, Order, Role, ServiceName, Time};
+
+/// Time without a known primary after which one is made.
+const LEADERLESS_TIMEOUT: Time = Time::from_millis(800);
+/// Age of a status that still says that an endpoint does not lead.
+const STATUS_AGE: Time = Time::from_millis(700);
+/// Pause after a change that was given up.
+const GIVE_UP_PAUSE: Time = Time::from_millis(400);
+
+impl Router {
+    /// Begins and carries on changes of primaries.
+    pub(super) fn check_primaries(&mut self) {
+        let services: Vec<ServiceName> = self.groups.keys().cloned().collect();
+        for service in &services {
+            self.begin_change(service);
+            self.vote(service);
+            self.advance_change(service);
+        }
+        self.keep_lease();
+    }
+
+    fn begin_change(&mut self, service: &ServiceName) {
+        let now = self.now;
+        let stopping = self.stopping.is_some();
+        let Some(group) = self.groups.get(service) else { return };
+        if stopping || now < group.change_after {
+            return;
+        }
+        if let Some(change) = &group.change {
+            let back = group.primary().is_some_and(|primary| primary.suspect.is_none());
+            if change.reason == Reason::Lost && !change.needs_lease() && back {
+                info!(%service, "primary answers again");
+                self.end_change(service, Time::ZERO);
+            }
+            return;
+        }
+        let Some((reason, old)) = self.due_change(service) else { return };
+        let term = group.term;
+        info!(%service, ?reason, old = ?old.as_ref().map(|lead| &lead.endpoint), term, "primary is to be replaced");
+        let Some(group) = self.groups.get_mut(service) else { return };
+        group.change = Some(Change::new(reason, old, term, now));
+    }
+
+    /// Returns why the primary is to be replaced, if it is.
+    fn due_change(&self, service: &ServiceName) -> Option<(Reason, Option<Lead>)> {
+        let now = self.now;
+        let group = self.groups.get(service)?;
+        if group.endpoints.len() < 2 {
+            return None;
+        }
+        if let Some(lead) = &group.lead {
+            let primary = group.endpoints.get(&lead.endpoint)?;
+            if primary.suspect.is_some() {
+                return Some((Reason::Lost, Some(lead.clone())));
+            }
+            // Nodes differ in when they act, so that mostly one of them asks for the lease.
+            let delay = Time::from_millis(self.stagger(service));
+            let leaving = primary.leaving_since.is_some_and(|since| now >= since + delay);
+            return leaving.then(|| (Reason::Leaving, Some(lead.clone())));
+        }
+        let since = group.leaderless?;
+        if now < since + LEADERLESS_TIMEOUT + Time::from_millis(self.stagger(service)) {
+            return None;
+        }
+        let listed =
+            group.endpoints.values().find(|e| e.entry.role == Role::Primary && e.suspect.is_some());
+        if let Some(primary) = listed
+            && group.term > 0
+        {
+            let lead = Lead { endpoint: primary.entry.id.clone(), term: group.term };
+            return Some((Reason::Lost, Some(lead)));
+        }
+        let follows = |endpoint: &crate::endpoint::Endpoint| {
+            endpoint.status.is_some_and(|(asked, status)| {
+                status.role == Role::Replica && now < asked + STATUS_AGE
+            })
+        };
+        let reachable: Vec<_> = group.endpoints.values().filter(|e| e.suspect.is_none()).collect();
+        let all = !reachable.is_empty() && reachable.iter().all(|e| follows(e));
+        (all && group.term > 0).then_some((Reason::Leaderless, None))
+    }
+
+    fn stagger(&self, service: &ServiceName) -> u64 {
+        /// Time over which nodes spread what each of them could do.
+        const SPREAD_MS: u64 = 150;
+        let key = format!("{}/{service}", self.settings.node);
+        xxhash_rust::xxh3::xxh3_64(key.as_bytes()) % SPREAD_MS
+    }
+
+    fn vote(&mut self, service: &ServiceName) {
+        let now = self.now;
+        let Some(group) = self.groups.get_mut(service) else { return };
+        let voting = group.change.as_ref().is_some_and(|change| !change.needs_lease());
+        if voting && now >= group.vote_after {
+            group.vote_after = now + VOTE_INTERVAL;
+            self.actions.push(Action::Fetch(RecordName::Ballot(service.clone())));
+        }
+    }
+
+    pub(super) fn ballot_read(
+        &mut self,
+        service: &ServiceName,
+        revision: Option<u64>,
+        ballot: &Ballot,
+    ) {
+        let now = self.now;
+        let node = self.settings.node.clone();
+        let Some(group) = self.groups.get_mut(service) else { return };
+        let Some(change) = group.change.as_mut().filter(|change| !change.needs_lease()) else {
+            return;
+        };
+        let Some(old) = change.old.clone() else { return };
+        if ballot.decides(&old) && ballot.has_vote(&old, &node) {
+            change.decided(now);
+            info!(%service, voters = ?ballot.voters, "votes decide that the primary is lost");
+            self.keep_lease();
+            return;
+        }
+        if ballot.has_vote(&old, &node) {
+            return;
+        }
+        let voted = Ballot::with_vote(Some(ballot), &old, &node);
+        group.voted = Some(voted.clone());
+        let name = RecordName::Ballot(service.clone());
+        self.actions.push(Action::Write(name, revision, Record::Ballot(voted)));
+    }
+
+    pub(super) fn ballot_written(&mut self, service: &ServiceName, write: &super::Write) {
+        let now = self.now;
+        let Some(group) = self.groups.get_mut(service) else { return };
+        let Some(voted) = group.voted.take() else { return };
+        let Some(change) = group.change.as_mut().filter(|change| !change.needs_lease()) else {
+            return;
+        };
+        match write {
+            super::Write::Done(_) => {
+                let decides = change.old.as_ref().is_some_and(|old| voted.decides(old));
+                if decides {
+                    info!(%service, voters = ?voted.voters, "votes decide that the primary is lost");
+                    change.decided(now);
+                    self.keep_lease();
+                }
+            }
+            super::Write::Conflict => group.vote_after = now,
+            super::Write::Failed => {}
+        }
+    }
+
+    /// Carries on the change of a group's primary.
+    pub(super) fn advance_change(&mut self, service: &ServiceName) {
+        let now = self.now;
+        let holds_lease = self.holding.token(now).is_some();
+        let Some(group) = self.groups.get_mut(service) else { return };
+        let Some(mut change) = group.change.take() else { return };
+        let before = change.phase.clone();
+        let directory = &self.directory;
+        let is_listed = |id: &EndpointId| directory.is_listed(id);
+        let view = View {
+            endpoints: &group.endpoints,
+            lead: group.lead.as_ref(),
+            is_listed: &is_listed,
+            holds_lease,
+        };
+        let steps = change.advance(now, &view);
+        if change.phase != before {
+            info!(%service, phase = ?change.phase, "change of primary goes on");
+        }
+        let started = change.started;
+        group.change = Some(change);
+        for step in steps {
+            match step {
+                Step::Order(endpoint, order) => self.order(service, &endpoint, order),
+                Step::Promote(endpoint) => {
+                    let Some(token) = self.holding.token(now) else { continue };
+                    info!(%service, %endpoint, token, "endpoint is promoted");
+                    self.actions.push(Action::Promote {
+                        service: service.clone(),
+                        endpoint,
+                        token,
+                    });
+                }
+                Step::Finish => {
+                    let took_ms = now.saturating_sub(started).as_millis() as u64;
+                    info!(%service, took_ms, "change of primary is over");
+                    self.end_change(service, Time::ZERO);
+                }
+                Step::GiveUp(why) => {
+                    warn!(%service, why, "change of primary is given up");
+                    self.end_change(service, GIVE_UP_PAUSE);
+                }
+            }
+        }
+    }
+
+    fn end_change(&mut self, service: &ServiceName, pause: Time) {
+        let now = self.now;
+        if let Some(group) = self.groups.get_mut(service) {
+            group.change = None;
+            group.change_after = now + pause;
+        }
+    }
+
+    pub(super) fn promoted(&mut self, service: &ServiceName, promotion: Promotion) {
+        let now = self.now;
+        info!(%service, ?promotion, "platform answered the promotion");
+        if let Some(group) = self.groups.get_mut(service)
+            && let Some(change) = &mut group.change
+        {
+            change.answered(promotion, now);
+        }
+        self.advance_change(service);
+    }
+
+    /// Sends an order to an endpoint.
+    pub(super) fn order(&mut self, service: &ServiceName, id: &EndpointId, order: Order) {
+        let Some(endpoint) = self.endpoint_mut(service, id) else { return };
+        let command = Command::new(order);
+        if endpoint.commands.iter().any(|(waiting, _)| *waiting == command) {
+            return;
+        }
+        endpoint.commands.push_back((command, Purpose::Order));
+        self.serve_commands(service, id);
+    }
+}
--- /dev/null
+++ b/crates/router/src/settings.rs
@@ -0,0 +1,55 @@
+//! Limits and intervals of the router.
+
+use std::time::Duration;
+
+/// Settings of a [`Router`](crate::Router).
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Name of this node.
+    pub node: String,
+    /// Failure domain of this node.
+    pub failure_domain: String,
+    /// Region of each failure domain.
+    pub regions: std::collections::HashMap<String, String>,
+    /// Time within which an endpoint that is leaving must get no more work.
+    pub leave_within: Duration,
+    /// Time from the order to stop until the process is killed.
+    pub stop_within: Duration,
+}
+
+/// How long a sample of another endpoint vouches for the primary; promotion waits at least this
+/// long after it has closed the old term.
+pub const EVIDENCE_VALIDITY: Duration = Duration::from_millis(500);
+/// Interval of samples of another endpoint: two may be lost within the validity.
+pub const EVIDENCE_INTERVAL: Duration = Duration::from_millis(180);
+/// Interval of samples of the primary's position; a fraction of the usual staleness bounds.
+pub const POSITION_INTERVAL: Duration = Duration::from_millis(350);
+/// Silence of an endpoint after which it is suspected: many round trips between regions.
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(350);
+/// Unanswered time of a statement after which its endpoint is probed.
+pub const PROBE_AFTER: Duration = Duration::from_millis(200);
+/// Longest wait for a connection to be established.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Pause between attempts to connect to an endpoint that fails.
+pub const RECONNECT_PAUSE: Duration = Duration::from_millis(250);
+/// Pause before a statement that was turned away is offered to the same endpoint again.
+pub const BUSY_PAUSE: Duration = Duration::from_millis(20);
+/// Pause before a replica that lagged is asked for newer data again.
+pub const LAGGING_PAUSE: Duration = Duration::from_millis(60);
+/// Connections that a node opens to an endpoint without regard to others.
+pub const CONNECTIONS_BASE: usize = 2;
+/// Most connections of a node to one endpoint.
+pub const CONNECTIONS_MOST: usize = 3;
+/// Share of an endpoint's connections up to which nodes open more than the base.
+pub const CONNECTIONS_SHARE: f64 = 0.8;
+/// How long an endpoint that vanished from the directory is kept: the directory's own delay after
+/// an outage.
+pub const VANISHED_GRACE: Duration = Duration::from_millis(2500);
+/// Gap between two steps after which the process was not running.
+pub const PAUSE_GAP: Duration = Duration::from_millis(250);
+/// Time after the order to stop in which new callers still arrive: two probes of the balancer.
+pub const LEAVE_ROTATION: Duration = Duration::from_millis(2300);
+/// Hint for callers of when to come back after a refusal for load.
+pub const RETRY_BUSY: Duration = Duration::from_millis(100);
+/// Hint for callers of when to come back while no primary is known.
+pub const RETRY_NO_PRIMARY: Duration = Duration::from_millis(500);
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use tamarackbend_config::{Club, Database, Document, Endpoint, FailureDomain, Service};
-use tamarackbend_platform::api::{self, KIND_CONFIG, KIND_GROUP, KIND_KEY};
+use tamarackbend_objects::api::{self, KIND_CONFIG, KIND_GROUP, KIND_KEY};
 use tamarackbend_postgres::verifier;
 
 use crate::endpoint::{Group, Setup};
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -17,7 +17,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 pub use state::{Calls, Faults};
-use tamarackbend_platform::api::{Object, Vm, Watched, Written};
+use tamarackbend_objects::api::{Object, Vm, Watched, Written};
 
 use crate::endpoint;
 use crate::platform::state::Objects;
--- a/crates/standin/src/platform/state.rs
+++ b/crates/standin/src/platform/state.rs
@@ -6,7 +6,7 @@
 use futures_channel::oneshot;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use tamarackbend_platform::api::{Object, Vm};
+use tamarackbend_objects::api::{Object, Vm};
 
 use crate::endpoint::Group;
 
--- a/crates/standin/tests/document.rs
+++ b/crates/standin/tests/document.rs
@@ -1,7 +1,7 @@
 //! The document on the platform: two editors at once, and answers that are lost.
 
 use tamarackbend_config::Document;
-use tamarackbend_platform::{Client, Publish, Store};
+use tamarackbend_objects::{Client, Publish, Store};
 use tamarackbend_standin::deployment::{Plan, publish};
 use tamarackbend_standin::platform::{Faults, Platform};
 
