--- a/crates/router/src/router/dispatch.rs
+++ b/crates/router/src/router/dispatch.rs
@@ -117,6 +117,13 @@
         if let Some(open) = &mut session.transaction {
             open.wrote |= writes;
         }
+        let proven = session.transaction.as_ref().is_some_and(|open| open.from_replica);
+        let service = session.transaction.as_ref().map(|open| open.route.service.clone());
+        if let Some(service) = service
+            && !proven
+        {
+            self.renew_evidence(&service);
+        }
         self.send_statement(id, connection, None, false);
         Placed::Done
     }
@@ -146,6 +153,9 @@
         };
         operation.stage = Stage::Sent { connection, at: now };
         operation.sent += 1;
+        if !matches!(need, Need::Position(_)) {
+            self.renew_evidence(service);
+        }
         let after = match need {
             Need::Position(position) => Some(position),
             _ => None,
--- a/crates/router/src/router/probes.rs
+++ b/crates/router/src/router/probes.rs
@@ -9,7 +9,7 @@
 };
 use crate::session::Phase;
 use crate::settings::{
-    CONNECT_TIMEOUT, CONNECTIONS_MOST, EVIDENCE_INTERVAL, LEAVE_ROTATION, POSITION_INTERVAL,
+    CONNECT_TIMEOUT, CONNECTIONS_MOST, EVIDENCE_AGE, LEAVE_ROTATION, POSITION_INTERVAL,
     PROBE_AFTER, PROBE_TIMEOUT,
 };
 
@@ -158,11 +158,9 @@
         }
         let idle = now >= group.used + GROUP_IDLE;
         let stretch = if idle { 10 } else { 1 };
-        let evidence_due =
-            group.evidence.witnessed().is_none_or(|at| now >= at + EVIDENCE_INTERVAL * stretch);
         let position_due =
             group.evidence.sampled().is_none_or(|at| now >= at + POSITION_INTERVAL * stretch);
-        if evidence_due || !group.pending.is_empty() {
+        if !group.pending.is_empty() {
             self.seek_evidence(service);
         }
         let Some(group) = self.groups.get(service) else { return };
@@ -174,6 +172,15 @@
         }
     }
 
+    /// Asks for evidence ahead of an answer of the primary that will need it.
+    pub(super) fn renew_evidence(&mut self, service: &ServiceName) {
+        let now = self.now;
+        let Some(group) = self.groups.get(service) else { return };
+        if group.evidence.witnessed().is_none_or(|at| now >= at + EVIDENCE_AGE) {
+            self.seek_evidence(service);
+        }
+    }
+
     /// Asks another endpoint whether the primary's term is still open.
     pub(super) fn seek_evidence(&mut self, service: &ServiceName) {
         let now = self.now;
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -19,9 +19,9 @@
 
 /// How long a sample of another endpoint vouches for the primary; promotion waits at least this
 /// long after it has closed the old term.
-pub const EVIDENCE_VALIDITY: Duration = Duration::from_millis(500);
-/// Interval of samples of another endpoint: two may be lost within the validity.
-pub const EVIDENCE_INTERVAL: Duration = Duration::from_millis(180);
+pub const EVIDENCE_VALIDITY: Duration = Duration::from_millis(1000);
+/// Age of a sample at which work for the primary asks for another: a third of the validity.
+pub const EVIDENCE_AGE: Duration = Duration::from_millis(330);
 /// Interval of samples of the primary's position; a fraction of the usual staleness bounds.
 pub const POSITION_INTERVAL: Duration = Duration::from_millis(350);
 /// Silence of an endpoint after which it is suspected: many round trips between regions.
