--- a/crates/router/src/router/answers.rs
+++ b/crates/router/src/router/answers.rs
@@ -1,7 +1,7 @@
 //! Answers of endpoints: delivered, retried, or kept until evidence allows them.
 
 use tamarackbend_policy::code::Code;
-use tracing::{debug, info};
+use tracing::{debug, info, trace};
 
 use super::{Action, Loss, Router};
 use crate::connection::{Awaited, Purpose};
@@ -144,7 +144,7 @@
         let wrote = transaction.is_none_or(|open| open.wrote);
         let opened = transaction.and_then(|open| open.opened);
         if from_replica {
-            self.deliver(from, id, answer);
+            self.deliver(from, id, answer, false);
             return;
         }
         // Reads of a transaction are as recent as its begin; only a commit must be newer.
@@ -157,8 +157,9 @@
 
     /// Delivers the primary's answer once it is known that the primary led at `received`.
     fn confirm(&mut self, from: &From, id: SessionId, serial: u64, received: Time, answer: Answer) {
-        if self.is_covered(&from.service, received) {
-            self.deliver(from, id, answer);
+        let leads = self.groups.get(&from.service).is_some_and(|g| g.leads(&from.endpoint));
+        if leads && self.is_covered(&from.service, received) {
+            self.deliver(from, id, answer, true);
             return;
         }
         if let Some(operation) = self.sessions.get_mut(&id).and_then(|s| s.current.as_mut()) {
@@ -175,7 +176,10 @@
             answer,
         };
         group.pending.push(pending);
-        self.seek_evidence(&from.service);
+        match leads {
+            true => self.seek_evidence(&from.service),
+            false => self.confirm_pending(&from.service),
+        }
     }
 
     /// Returns whether the primary of `service` led at `received`.
@@ -203,7 +207,7 @@
                     endpoint: pending.endpoint,
                     awaited,
                 };
-                self.deliver(&from, pending.session, pending.answer);
+                self.deliver(&from, pending.session, pending.answer, true);
             } else if !led {
                 self.disown(pending);
             } else if let Some(group) = self.groups.get_mut(service) {
@@ -237,7 +241,7 @@
     }
 
     /// Delivers an answer that may be relied on.
-    fn deliver(&mut self, from: &From, id: SessionId, answer: Answer) {
+    fn deliver(&mut self, from: &From, id: SessionId, answer: Answer, proven: bool) {
         let Some(session) = self.sessions.get_mut(&id) else { return };
         let Some(operation) = &session.current else { return };
         let commits = operation.statement == Statement::Commit;
@@ -256,8 +260,10 @@
                 connection.session = None;
             }
         }
+        // Only an answer that evidence covers says how far the primary's log goes.
         if let Some(position) = answer.position
             && acknowledged
+            && proven
             && let Some(group) = self.groups.get_mut(&from.service)
             && group.leads(&from.endpoint)
         {
@@ -403,6 +409,7 @@
         let Some(status) = answer.status else { return };
         let Some(group) = self.groups.get_mut(&from.service) else { return };
         let learned = group.learn(&from.endpoint, from.awaited.sent, now, status);
+        trace!(service = %from.service, endpoint = %from.endpoint, ?status, ?learned, "status");
         let term = group.term;
         match learned {
             Learned::Lead => {
