--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -35,7 +35,11 @@
     drop(reading);
 }
 
-async fn write(mut writer: Writer, dialect: Dialect, mut commands: UnboundedReceiver<Vec<Command>>) {
+async fn write(
+    mut writer: Writer,
+    dialect: Dialect,
+    mut commands: UnboundedReceiver<Vec<Command>>,
+) {
     let mut buffer = BytesMut::new();
     while let Some(batch) = commands.next().await {
         for command in &batch {
@@ -71,7 +75,9 @@
         };
         match piece {
             Piece::Row(row) => rows.push(row),
-            Piece::Outcome(Outcome::Error { fault, .. }) if !started => return Loss::Refused(fault),
+            Piece::Outcome(Outcome::Error { fault, .. }) if !started => {
+                return Loss::Refused(fault);
+            }
             Piece::Outcome(ended) => outcome = Some(ended),
             Piece::Ready(_, position) if !started => {
                 started = true;
--- a/crates/objects/src/http.rs
+++ b/crates/objects/src/http.rs
@@ -119,9 +119,8 @@
             true => Value::Null,
             // Error pages need not be JSON; their status says enough.
             false if status >= 400 => serde_json::from_slice(&bytes).unwrap_or(Value::Null),
-            false => serde_json::from_slice(&bytes).map_err(|error| {
-                Error::new(Code::Invalid(call.path.clone(), error.to_string()))
-            })?,
+            false => serde_json::from_slice(&bytes)
+                .map_err(|error| Error::new(Code::Invalid(call.path.clone(), error.to_string())))?,
         };
         Ok(Reply { status, body })
     }
--- a/crates/router/src/failover.rs
+++ b/crates/router/src/failover.rs
@@ -200,6 +200,8 @@
     pub endpoints: &'a BTreeMap<EndpointId, Endpoint>,
     /// Primary now.
     pub lead: Option<&'a Lead>,
+    /// Highest term that any endpoint has shown.
+    pub term: Term,
     /// Whether the directory lists an endpoint.
     pub is_listed: &'a dyn Fn(&EndpointId) -> bool,
     /// Whether this node holds the lease.
@@ -258,6 +260,9 @@
         if over {
             return vec![Step::Finish];
         }
+        if view.term > self.term && !self.accepted {
+            return vec![Step::GiveUp("another change has begun a newer term")];
+        }
         if self.needs_lease() && self.phase != Phase::Claiming && !view.holds_lease {
             return vec![Step::GiveUp("lease is lost")];
         }
@@ -368,8 +373,7 @@
         if now >= self.since + CLOSE_TIMEOUT {
             return self.reopen("the term cannot be closed", closed);
         }
-        let open: Vec<EndpointId> =
-            others.into_iter().filter(|id| !closed.contains(id)).collect();
+        let open: Vec<EndpointId> = others.into_iter().filter(|id| !closed.contains(id)).collect();
         let mut steps = self.order(now, &open, ORDER_INTERVAL, |_| Order::Pause(term));
         if let Some(old) = self.old.as_ref().map(|old| old.endpoint.clone())
             && !demoted
@@ -392,11 +396,8 @@
             self.enter(Phase::Closing, now);
             return self.advance(now, view);
         }
-        let confirmed: Vec<EndpointId> = others
-            .iter()
-            .filter(|id| self.is_closed(view, id))
-            .cloned()
-            .collect();
+        let confirmed: Vec<EndpointId> =
+            others.iter().filter(|id| self.is_closed(view, id)).cloned().collect();
         if let Some(target) = self.best(view, &confirmed)
             && (confirmed.len() == others.len() || now >= until + ORDER_INTERVAL)
         {
--- a/crates/router/src/group.rs
+++ b/crates/router/src/group.rs
@@ -90,27 +90,25 @@
         endpoint.status = Some((asked, status));
         let known = self.lead.clone();
         self.term = self.term.max(status.term);
+        let leads = known.as_ref().is_some_and(|lead| lead.endpoint == *id);
+        if known.as_ref().is_some_and(|lead| lead.term < self.term) {
+            self.depose(now);
+        }
         match status.role {
+            Role::Primary if status.term < self.term => Learned::Deposed,
+            Role::Primary if leads && self.lead.is_some() => Learned::Nothing,
             Role::Primary => {
-                let newer = known.as_ref().is_none_or(|lead| status.term > lead.term);
-                if newer && status.term >= self.term {
-                    self.lead = Some(Lead { endpoint: id.clone(), term: status.term });
-                    self.leaderless = None;
-                    self.evidence.invalidate();
-                    return Learned::Lead;
-                }
-                match known {
-                    Some(lead) if lead.endpoint != *id => Learned::Deposed,
-                    _ => Learned::Nothing,
-                }
+                self.lead = Some(Lead { endpoint: id.clone(), term: status.term });
+                self.leaderless = None;
+                self.evidence.invalidate();
+                Learned::Lead
             }
             Role::Replica => {
-                let Some(lead) = known else { return Learned::Nothing };
-                if lead.endpoint == *id {
+                if leads {
                     self.depose(now);
-                    return Learned::Closed;
                 }
-                if status.term > lead.term || status.held > lead.term {
+                let Some(lead) = &self.lead else { return Learned::Closed };
+                if status.held > lead.term {
                     self.evidence.invalidate();
                     return Learned::Closed;
                 }
--- a/crates/router/src/router/answers.rs
+++ b/crates/router/src/router/answers.rs
@@ -8,8 +8,8 @@
 use crate::evidence::Sample;
 use crate::group::{Learned, Pending};
 use crate::message::{
-    Access, Answer, ConnectionId, EndpointId, Fault, Order, Position, ServiceName,
-    SessionId, State, Statement, Time,
+    Access, Answer, ConnectionId, EndpointId, Fault, Order, Position, ServiceName, SessionId,
+    State, Statement, Time,
 };
 use crate::session::{Need, Phase, Stage};
 use crate::settings::{BUSY_PAUSE, LAGGING_PAUSE, RECONNECT_PAUSE};
--- a/crates/router/src/router/dispatch.rs
+++ b/crates/router/src/router/dispatch.rs
@@ -79,8 +79,9 @@
             false => None,
         };
         let need = position.map_or(Need::Primary, Need::Position);
-        let avoids =
-            |endpoint: &EndpointId| open.avoid.iter().any(|(e, until)| e == endpoint && now < *until);
+        let avoids = |endpoint: &EndpointId| {
+            open.avoid.iter().any(|(e, until)| e == endpoint && now < *until)
+        };
         let Some(connection) = self.choose(service, need, session, &avoids, true) else {
             self.open_connections(service, need, &avoids_of(&open.avoid, now));
             return Placed::Not;
--- a/crates/router/src/router/probes.rs
+++ b/crates/router/src/router/probes.rs
@@ -270,8 +270,12 @@
         let Some(since) = self.stopping else { return };
         let within = self.settings.stop_within;
         if now >= since + within.saturating_sub(STOP_RESERVE) {
-            let late: Vec<SessionId> =
-                self.sessions.iter().filter(|(_, s)| s.current.is_some()).map(|(id, _)| *id).collect();
+            let late: Vec<SessionId> = self
+                .sessions
+                .iter()
+                .filter(|(_, s)| s.current.is_some())
+                .map(|(id, _)| *id)
+                .collect();
             for id in late {
                 self.give_up(id);
             }
--- a/crates/router/src/router/promotion.rs
+++ b/crates/router/src/router/promotion.rs
@@ -37,7 +37,8 @@
             return;
         }
         if let Some(change) = &group.change {
-            let back = group.primary().is_some_and(|primary| primary.suspect.is_none());
+            let presumed = change.old.as_ref().and_then(|old| group.endpoints.get(&old.endpoint));
+            let back = presumed.is_none_or(|endpoint| endpoint.suspect.is_none());
             if change.reason == Reason::Lost && !change.needs_lease() && back {
                 info!(%service, "primary answers again");
                 self.end_change(service, Time::ZERO);
@@ -72,12 +73,13 @@
         if now < since + LEADERLESS_TIMEOUT + Time::from_millis(self.stagger(service)) {
             return None;
         }
-        let listed =
-            group.endpoints.values().find(|e| e.entry.role == Role::Primary && e.suspect.is_some());
-        if let Some(primary) = listed
-            && group.term > 0
-        {
-            let lead = Lead { endpoint: primary.entry.id.clone(), term: group.term };
+        if group.term == 0 {
+            return None;
+        }
+        // An endpoint that is out of reach may lead: that takes a second node's word.
+        let silent = group.endpoints.values().filter(|e| e.suspect.is_some());
+        if let Some(silent) = silent.max_by_key(|e| e.entry.role == Role::Primary) {
+            let lead = Lead { endpoint: silent.entry.id.clone(), term: group.term };
             return Some((Reason::Lost, Some(lead)));
         }
         let follows = |endpoint: &crate::endpoint::Endpoint| {
@@ -85,9 +87,7 @@
                 status.role == Role::Replica && now < asked + STATUS_AGE
             })
         };
-        let reachable: Vec<_> = group.endpoints.values().filter(|e| e.suspect.is_none()).collect();
-        let all = !reachable.is_empty() && reachable.iter().all(|e| follows(e));
-        (all && group.term > 0).then_some((Reason::Leaderless, None))
+        group.endpoints.values().all(follows).then_some((Reason::Leaderless, None))
     }
 
     fn stagger(&self, service: &ServiceName) -> u64 {
@@ -168,6 +168,7 @@
         let view = View {
             endpoints: &group.endpoints,
             lead: group.lead.as_ref(),
+            term: group.term,
             is_listed: &is_listed,
             holds_lease,
         };
--- a/crates/router/src/session.rs
+++ b/crates/router/src/session.rs
@@ -4,7 +4,8 @@
 
 use crate::configuration::Route;
 use crate::message::{
-    Access, Answer, ConnectionId, EndpointId, Position, Request, ServiceName, State, Statement, Time,
+    Access, Answer, ConnectionId, EndpointId, Position, Request, ServiceName, State, Statement,
+    Time,
 };
 
 /// Values that a session has set.
