--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -11,6 +11,7 @@
 use crate::{Dialect, Events};
 
 /// Message to a caller's writing task.
+#[derive(Debug)]
 pub(crate) enum Output {
     Welcome,
     Reject(Answer),
--- /dev/null
+++ b/crates/gateway/src/channel.rs
@@ -0,0 +1,140 @@
+//! Frames of channels, and the product's types that they carry.
+
+use tamarackbend_router::message::{
+    Access, Answer, Command, Fault, Order, Outcome, Position, Request, State, Statement,
+};
+use tamarackbend_wire::channel::{self, Call, Frame, Kind, Reply, frame::Body};
+
+/// Numbers of faults on channels.
+const FAULTS: [(u32, Fault); 13] = [
+    (1, Fault::Busy),
+    (2, Fault::Lagging),
+    (3, Fault::ReadOnly),
+    (4, Fault::Misrouted),
+    (5, Fault::TooMany),
+    (6, Fault::NoStatement),
+    (7, Fault::Failed),
+    (8, Fault::Timeout),
+    (9, Fault::NoDatabase),
+    (10, Fault::TooBig),
+    (11, Fault::Malformed),
+    (12, Fault::Aborted),
+    (13, Fault::InDoubt),
+];
+
+/// Returns a frame of `channel`.
+pub(crate) fn frame(channel: u64, body: Body) -> Frame {
+    Frame { channel, body: Some(body) }
+}
+
+/// Returns the call that carries a command to another node.
+pub(crate) fn encode_command(command: &Command) -> Option<Call> {
+    let (kind, name, text) = match &command.order {
+        Order::Statement(statement) => encode_statement(statement),
+        Order::Reset => (Kind::Reset, "", ""),
+        Order::Status | Order::Pause(_) | Order::Resume | Order::Demote(_) => return None,
+    };
+    Some(Call {
+        id: command.id.clone(),
+        floor: command.after.map(encode_position),
+        kind: kind.into(),
+        name: name.to_owned(),
+        text: text.to_owned(),
+    })
+}
+
+fn encode_statement(statement: &Statement) -> (Kind, &str, &str) {
+    match statement {
+        Statement::Begin { read_only: false } => (Kind::Begin, "", ""),
+        Statement::Begin { read_only: true } => (Kind::BeginReadOnly, "", ""),
+        Statement::Commit => (Kind::Commit, "", ""),
+        Statement::Rollback => (Kind::Rollback, "", ""),
+        Statement::Read { arguments } => (Kind::Read, "", arguments),
+        Statement::Write { arguments } => (Kind::Write, "", arguments),
+        Statement::Set { name, value } => (Kind::Set, name, value),
+        Statement::Prepare { name, access: Access::Read, shape } => {
+            (Kind::PrepareRead, name, shape)
+        }
+        Statement::Prepare { name, access: Access::Write, shape } => {
+            (Kind::PrepareWrite, name, shape)
+        }
+        Statement::Execute { name, arguments } => (Kind::Execute, name, arguments),
+        Statement::Close { name } => (Kind::Close, name, ""),
+    }
+}
+
+/// Returns the request that a call carries.
+pub(crate) fn decode_call(call: Call) -> Request {
+    let (name, text) = (call.name, call.text);
+    let statement = match Kind::try_from(call.kind) {
+        Ok(Kind::Begin) => Statement::Begin { read_only: false },
+        Ok(Kind::BeginReadOnly) => Statement::Begin { read_only: true },
+        Ok(Kind::Commit) => Statement::Commit,
+        Ok(Kind::Rollback) => Statement::Rollback,
+        Ok(Kind::Read) => Statement::Read { arguments: text },
+        Ok(Kind::Write) => Statement::Write { arguments: text },
+        Ok(Kind::Set) => Statement::Set { name, value: text },
+        Ok(Kind::PrepareRead) => Statement::Prepare { name, access: Access::Read, shape: text },
+        Ok(Kind::PrepareWrite) => Statement::Prepare { name, access: Access::Write, shape: text },
+        Ok(Kind::Execute) => Statement::Execute { name, arguments: text },
+        Ok(Kind::Close) => Statement::Close { name },
+        Ok(Kind::Reset) => return Request::Reset,
+        Ok(Kind::Unspecified) | Err(_) => {
+            let reason = format!("call of the unknown kind {}", call.kind);
+            return Request::Malformed { id: call.id, reason };
+        }
+    };
+    let floor = call.floor.map(decode_position);
+    Request::Statement { id: call.id.unwrap_or_default(), statement, floor }
+}
+
+/// Returns the reply that carries an answer back.
+pub(crate) fn encode_answer(answer: Answer) -> Reply {
+    let state = match answer.state {
+        State::Idle => channel::State::Idle,
+        State::Transaction => channel::State::Transaction,
+        State::Failed => channel::State::Failed,
+    };
+    let (proof, fault, text) = match answer.outcome {
+        Outcome::Complete(proof) => (proof, None, String::new()),
+        Outcome::Error { fault, text } => (None, Some(encode_fault(&fault)), text),
+    };
+    let position = answer.position.map(encode_position);
+    Reply { rows: answer.rows, proof, fault, text, state: state.into(), position }
+}
+
+/// Returns the answer that a reply carries.
+pub(crate) fn decode_reply(reply: Reply) -> Answer {
+    let state = match channel::State::try_from(reply.state) {
+        Ok(channel::State::Transaction) => State::Transaction,
+        Ok(channel::State::Failed) => State::Failed,
+        Ok(channel::State::Idle | channel::State::Unspecified) | Err(_) => State::Idle,
+    };
+    let outcome = match reply.fault {
+        None => Outcome::Complete(reply.proof),
+        Some(fault) => Outcome::Error { fault: decode_fault(fault), text: reply.text },
+    };
+    let position = reply.position.map(decode_position);
+    Answer { rows: reply.rows, outcome, state, position, status: None }
+}
+
+pub(crate) fn encode_fault(fault: &Fault) -> channel::Fault {
+    if let Fault::Other(word) = fault {
+        return channel::Fault { number: 0, word: word.clone() };
+    }
+    let known = FAULTS.iter().find(|(_, known)| known == fault);
+    channel::Fault { number: known.map_or(0, |(number, _)| *number), word: String::new() }
+}
+
+pub(crate) fn decode_fault(fault: channel::Fault) -> Fault {
+    let known = FAULTS.into_iter().find(|(number, _)| *number == fault.number);
+    known.map_or(Fault::Other(fault.word), |(_, fault)| fault)
+}
+
+fn encode_position(position: Position) -> channel::Position {
+    channel::Position { term: position.term, number: position.number }
+}
+
+fn decode_position(position: channel::Position) -> Position {
+    Position { term: position.term, number: position.number }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,9 +5,11 @@
 //! stands on the sockets is the business of a [`Dialect`].
 
 mod caller;
+mod channel;
 pub mod clock;
 mod dialect;
 mod endpoint;
+mod link;
 mod node;
 
 pub use dialect::{Dialect, Piece};
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,6 +1,9 @@
 //! The task that owns the router.
 
+use std::cell::Cell;
 use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use compio::net::TcpListener;
@@ -8,33 +11,99 @@
 use compio::time::timeout;
 use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
 use futures_util::StreamExt;
-use tamarackbend_router::message::{Command, ConnectionId, SessionId};
-use tamarackbend_router::{Action, Event, Router};
-use tracing::warn;
+use tamarackbend_router::directory::Entry;
+use tamarackbend_router::message::{Command, ConnectionId, Fault, SessionId};
+use tamarackbend_router::{Action, Event, Loss, Router};
+use tamarackbend_wire::channel::{Close, Frame, frame::Body};
+use tracing::{info, warn};
 
 use crate::caller::{self, Output};
-use crate::{Dialect, clock, endpoint};
+use crate::channel::{decode_fault, decode_reply, encode_command, frame};
+use crate::link::{self, Link};
+use crate::{Dialect, Result, clock, endpoint};
 
 /// Interval of ticks while something waits for time to pass.
 const TICK_BUSY: Duration = Duration::from_millis(15);
 /// Interval of ticks otherwise.
 const TICK_IDLE: Duration = Duration::from_millis(40);
+/// Gap between two ticks after which the process was not running.
+const PAUSE_GAP: Duration = Duration::from_millis(250);
 /// Time that answers have to leave before the process ends.
 const LAST_WRITES: Duration = Duration::from_millis(50);
 /// Pause after a connection could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Sender of events to the router.
 #[derive(Clone, Debug)]
 pub struct Events {
-    sender: UnboundedSender<Event>,
+    inbox: Inbox,
 }
 
 impl Events {
     /// Sends an event; after the node has ended it goes nowhere.
     pub fn send(&self, event: Event) {
+        self.inbox.send(Message::Event(event));
+    }
+}
+
+/// Message to the task that owns the router.
+#[derive(Debug)]
+pub(crate) enum Message {
+    Event(Event),
+    Caller(SessionId, Sink),
+    Frame { peer: String, generation: u64, frame: Frame },
+    LinkLost { peer: String, generation: u64 },
+}
+
+/// Sender to the task that owns the router.
+#[derive(Clone, Debug)]
+pub(crate) struct Inbox {
+    sender: UnboundedSender<Message>,
+}
+
+impl Inbox {
+    pub(crate) fn send(&self, message: Message) {
         // Fails only when the router's task has ended, and the process with it.
-        let _ = self.sender.unbounded_send(event);
+        let _ = self.sender.unbounded_send(message);
+    }
+}
+
+/// Where a caller's answers go.
+#[derive(Debug)]
+pub(crate) enum Sink {
+    Socket(UnboundedSender<Output>),
+    Channel { channel: u64, frames: UnboundedSender<Frame> },
+}
+
+impl Sink {
+    fn tell(&self, output: Output) {
+        // A caller whose task has ended is reported as left by its reading task.
+        let _ = match self {
+            Sink::Socket(outputs) => outputs.unbounded_send(output).is_ok(),
+            Sink::Channel { channel, frames } => {
+                frames.unbounded_send(link::encode_output(*channel, output)).is_ok()
+            }
+        };
+    }
+
+    fn close(self) {
+        if let Sink::Channel { channel, frames } = self {
+            // As above.
+            let _ = frames.unbounded_send(frame(channel, Body::Close(Close {})));
+        }
+    }
+}
+
+/// Source of session ids.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Sessions {
+    last: Rc<Cell<SessionId>>,
+}
+
+impl Sessions {
+    pub(crate) fn next(&self) -> SessionId {
+        self.last.set(self.last.get() + 1);
+        self.last.get()
     }
 }
 
@@ -42,65 +111,77 @@
 pub struct Node {
     router: Router,
     dialect: Dialect,
-    events: Events,
-    inbox: UnboundedReceiver<Event>,
-    callers: HashMap<SessionId, UnboundedSender<Output>>,
-    endpoints: HashMap<ConnectionId, Connection>,
-    accepted: UnboundedReceiver<(SessionId, UnboundedSender<Output>)>,
-    acceptor: UnboundedSender<(SessionId, UnboundedSender<Output>)>,
+    inbox: Inbox,
+    messages: UnboundedReceiver<Message>,
+    sessions: Sessions,
+    callers: HashMap<SessionId, Sink>,
+    connections: HashMap<ConnectionId, Connection>,
+    links: HashMap<String, Link>,
+    next_generation: u64,
 }
 
-struct Connection {
-    commands: UnboundedSender<Vec<Command>>,
-    _task: JoinHandle<()>,
+enum Connection {
+    Endpoint { commands: UnboundedSender<Vec<Command>>, _task: JoinHandle<()> },
+    Channel { peer: String },
 }
 
 impl Node {
     /// Returns a node that speaks `dialect`.
     pub fn new(router: Router, dialect: Dialect) -> Node {
-        let (sender, inbox) = unbounded();
-        let (acceptor, accepted) = unbounded();
+        let (sender, messages) = unbounded();
         Node {
             router,
             dialect,
-            events: Events { sender },
-            inbox,
+            inbox: Inbox { sender },
+            messages,
+            sessions: Sessions::default(),
             callers: HashMap::new(),
-            endpoints: HashMap::new(),
-            accepted,
-            acceptor,
+            connections: HashMap::new(),
+            links: HashMap::new(),
+            next_generation: 1,
         }
     }
 
     /// Returns a sender of events to the router.
     pub fn events(&self) -> Events {
-        self.events.clone()
+        Events { inbox: self.inbox.clone() }
+    }
+
+    /// Serves the channels of other nodes at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be listened on.
+    pub async fn listen(&self, address: SocketAddr) -> Result<()> {
+        link::listen(address, self.inbox.clone(), self.sessions.clone()).await
     }
 
     /// Serves callers of `listener` until the router ends the process.
     ///
     /// Actions that are neither for callers nor for endpoints go to `perform`.
     pub async fn run(mut self, listener: TcpListener, mut perform: impl FnMut(Action)) {
-        let accepting = accept(listener, self.dialect, self.events.clone(), self.acceptor.clone());
+        let accepting = accept(listener, self.dialect, self.inbox.clone(), self.sessions.clone());
         let _accepting = compio::runtime::spawn(accepting);
         let mut ticked = clock::now();
         loop {
             let interval = if self.router.is_busy() { TICK_BUSY } else { TICK_IDLE };
             let rest = (ticked + interval).saturating_sub(clock::now());
             if !rest.is_zero()
-                && let Ok(Some(event)) = timeout(rest, self.inbox.next()).await
-                && self.handle(event, &mut perform)
+                && let Ok(Some(message)) = timeout(rest, self.messages.next()).await
+                && self.take(message, &mut perform)
             {
                 break;
             }
-            while let Ok(event) = self.inbox.try_recv() {
-                if self.handle(event, &mut perform) {
+            while let Ok(message) = self.messages.try_recv() {
+                if self.take(message, &mut perform) {
                     return self.end().await;
                 }
             }
-            if clock::now() >= ticked + interval {
-                ticked = clock::now();
-                if self.handle(Event::Tick, &mut perform) {
+            let now = clock::now();
+            if now >= ticked + interval {
+                self.check_links(now, now > ticked + PAUSE_GAP, &mut perform);
+                ticked = now;
+                if self.step(Event::Tick, &mut perform) {
                     break;
                 }
             }
@@ -113,17 +194,35 @@
         compio::time::sleep(LAST_WRITES).await;
     }
 
-    /// Steps the router and carries out its actions; returns whether the process ends.
-    fn handle(&mut self, event: Event, perform: &mut impl FnMut(Action)) -> bool {
-        while let Ok((id, output)) = self.accepted.try_recv() {
-            self.callers.insert(id, output);
-        }
-        if let Event::Left(id) = &event {
-            self.callers.remove(id);
-        }
-        if let Event::Lost(id, _) = &event {
-            self.endpoints.remove(id);
+    /// Handles a message; returns whether the process ends.
+    fn take(&mut self, message: Message, perform: &mut impl FnMut(Action)) -> bool {
+        match message {
+            Message::Event(event) => {
+                match &event {
+                    Event::Left(id) => drop(self.callers.remove(id)),
+                    Event::Lost(id, _) => drop(self.connections.remove(id)),
+                    _ => {}
+                }
+                self.step(event, perform)
+            }
+            Message::Caller(id, sink) => {
+                self.callers.insert(id, sink);
+                false
+            }
+            Message::Frame { peer, generation, frame } => {
+                self.frame(&peer, generation, frame, perform)
+            }
+            Message::LinkLost { peer, generation } => {
+                if self.links.get(&peer).is_some_and(|link| link.generation == generation) {
+                    return self.lose_link(&peer, perform);
+                }
+                false
+            }
         }
+    }
+
+    /// Steps the router and carries out its actions; returns whether the process ends.
+    fn step(&mut self, event: Event, perform: &mut impl FnMut(Action)) -> bool {
         let mut ends = false;
         for action in self.router.step(clock::now(), event) {
             ends |= action == Action::Exit;
@@ -141,43 +240,133 @@
                 self.callers.remove(&id);
             }
             Action::Close(id) => {
-                self.callers.remove(&id);
+                if let Some(sink) = self.callers.remove(&id) {
+                    sink.close();
+                }
             }
             Action::Connect { connection, entry } => {
                 let (commands, receiver) = unbounded();
-                let run =
-                    endpoint::run(connection, entry, self.dialect, self.events.clone(), receiver);
+                let events = self.events();
+                let run = endpoint::run(connection, entry, self.dialect, events, receiver);
                 let task = compio::runtime::spawn(run);
-                self.endpoints.insert(connection, Connection { commands, _task: task });
+                self.connections.insert(connection, Connection::Endpoint { commands, _task: task });
             }
-            Action::Send(id, commands) => {
-                if let Some(connection) = self.endpoints.get(&id) {
-                    // A connection whose task has ended is reported as lost by that task.
-                    let _ = connection.commands.unbounded_send(commands);
-                }
+            Action::Open { connection, entry, database } => {
+                self.open(connection, &entry, database);
             }
+            Action::Send(id, commands) => self.send(id, commands),
             Action::Disconnect(id) => {
-                self.endpoints.remove(&id);
+                if let Some(Connection::Channel { peer }) = self.connections.remove(&id)
+                    && let Some(link) = self.links.get_mut(&peer)
+                {
+                    link.close(id);
+                }
             }
             other => perform(other),
         }
     }
 
     fn tell(&self, id: SessionId, output: Output) {
-        if let Some(caller) = self.callers.get(&id) {
-            // A caller whose task has ended is reported as left by its reading task.
-            let _ = caller.unbounded_send(output);
+        if let Some(sink) = self.callers.get(&id) {
+            sink.tell(output);
+        }
+    }
+
+    fn open(&mut self, connection: ConnectionId, entry: &Entry, database: String) {
+        let peer = entry.id.to_string();
+        let known = self.links.get(&peer).is_some_and(|link| link.address == entry.address);
+        if !known {
+            self.next_generation += 1;
+            let generation = self.next_generation;
+            let link = Link::dial(&peer, entry.address, generation, self.inbox.clone());
+            if let Some(old) = self.links.insert(peer.clone(), link) {
+                for id in old.channels {
+                    self.connections.remove(&id);
+                    self.inbox.send(Message::Event(Event::Lost(id, Loss::Broken)));
+                }
+            }
+        }
+        if let Some(link) = self.links.get_mut(&peer) {
+            link.open(connection, database);
+        }
+        self.connections.insert(connection, Connection::Channel { peer });
+    }
+
+    fn send(&mut self, id: ConnectionId, commands: Vec<Command>) {
+        match self.connections.get(&id) {
+            Some(Connection::Endpoint { commands: sender, .. }) => {
+                // A connection whose task has ended is reported as lost by that task.
+                let _ = sender.unbounded_send(commands);
+            }
+            Some(Connection::Channel { peer }) => {
+                let Some(link) = self.links.get_mut(peer) else { return };
+                for call in commands.iter().filter_map(encode_command) {
+                    link.call(id, Body::Call(call));
+                }
+            }
+            None => {}
+        }
+    }
+
+    fn frame(
+        &mut self,
+        peer: &str,
+        generation: u64,
+        frame: Frame,
+        perform: &mut impl FnMut(Action),
+    ) -> bool {
+        let Some(link) = self.links.get_mut(peer).filter(|link| link.generation == generation)
+        else {
+            return false;
+        };
+        if !link.hear(&frame) {
+            return false;
+        }
+        let id = frame.channel;
+        let event = match frame.body {
+            Some(Body::Opened(_)) => Event::Connected(id, None),
+            Some(Body::Reply(reply)) => Event::Answered(id, decode_reply(reply)),
+            Some(Body::Refused(refused)) => {
+                let fault = refused.fault.map_or(Fault::Busy, decode_fault);
+                Event::Lost(id, Loss::Refused(fault))
+            }
+            Some(Body::Close(_)) => Event::Lost(id, Loss::Broken),
+            _ => return false,
+        };
+        if matches!(event, Event::Lost(..)) {
+            link.channels.remove(&id);
+            self.connections.remove(&id);
+        }
+        self.step(event, perform)
+    }
+
+    fn lose_link(&mut self, peer: &str, perform: &mut impl FnMut(Action)) -> bool {
+        let Some(link) = self.links.remove(peer) else { return false };
+        info!(peer, channels = link.channels.len(), "link is lost");
+        let mut ends = false;
+        for id in link.channels {
+            self.connections.remove(&id);
+            ends |= self.step(Event::Lost(id, Loss::Broken), perform);
+        }
+        ends
+    }
+
+    fn check_links(&mut self, now: Duration, paused: bool, perform: &mut impl FnMut(Action)) {
+        if paused {
+            self.links.values_mut().for_each(|link| link.forgive(now));
+        }
+        let checked = self.links.iter_mut().filter_map(|(peer, link)| {
+            let lost = link.check(now);
+            lost.then(|| peer.clone())
+        });
+        for peer in checked.collect::<Vec<String>>() {
+            self.lose_link(&peer, perform);
         }
     }
 }
 
-async fn accept(
-    listener: TcpListener,
-    dialect: Dialect,
-    events: Events,
-    acceptor: UnboundedSender<(SessionId, UnboundedSender<Output>)>,
-) {
-    let mut next: SessionId = 1;
+async fn accept(listener: TcpListener, dialect: Dialect, inbox: Inbox, sessions: Sessions) {
+    let events = Events { inbox: inbox.clone() };
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -187,11 +376,10 @@
                 continue;
             }
         };
+        let id = sessions.next();
         let (output, outputs) = unbounded();
-        // Fails only when the router's task has ended, and the process with it.
-        let _ = acceptor.unbounded_send((next, output));
-        events.send(Event::Opened(next));
-        caller::start(next, stream, dialect, events.clone(), outputs);
-        next += 1;
+        inbox.send(Message::Caller(id, Sink::Socket(output)));
+        events.send(Event::Opened(id));
+        caller::start(id, stream, dialect, events.clone(), outputs);
     }
 }
--- a/crates/router/src/group.rs
+++ b/crates/router/src/group.rs
@@ -38,6 +38,8 @@
 /// Group of endpoints.
 #[derive(Debug, Default)]
 pub struct Group {
+    /// Whether the endpoints are nodes that hold connections to the database's endpoints.
+    pub is_remote: bool,
     /// Connections that one endpoint takes from all nodes together.
     pub connections: u32,
     /// Endpoints.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod evidence;
 pub mod failover;
 pub mod group;
+pub mod membership;
 pub mod message;
 mod router;
 pub mod session;
--- a/crates/router/src/message.rs
+++ b/crates/router/src/message.rs
@@ -108,7 +108,11 @@
         id: String,
         /// The statement.
         statement: Statement,
+        /// The session's own last commit, where another node knows it.
+        floor: Option<Position>,
     },
+    /// Forgets values and prepared statements.
+    Reset,
     /// Message that cannot be understood.
     Malformed {
         /// Id of the statement, if it could be read.
--- a/crates/router/src/router/answers.rs
+++ b/crates/router/src/router/answers.rs
@@ -31,7 +31,7 @@
         if let Some(position) = position {
             endpoint.applied = Some((now, position));
         }
-        if endpoint.status.is_none() {
+        if endpoint.status.is_none() && !self.is_remote(&service) {
             self.ask_status(&service, &endpoint_id);
         }
         self.serve_commands(&service, &endpoint_id);
@@ -143,7 +143,7 @@
         let from_replica = transaction.is_some_and(|open| open.from_replica);
         let wrote = transaction.is_none_or(|open| open.wrote);
         let opened = transaction.and_then(|open| open.opened);
-        if from_replica {
+        if from_replica || session.remote.is_some() {
             self.deliver(from, id, answer, false);
             return;
         }
@@ -277,10 +277,14 @@
         let now = self.now;
         let Some(session) = self.sessions.get_mut(&id) else { return };
         let in_transaction = session.transaction.is_some();
+        let remote = session.remote.is_some();
         let Some(operation) = session.current.as_mut() else { return };
         let (service, need) = (operation.route.service.clone(), operation.need);
         let again = match fault {
-            Fault::Busy | Fault::NoStatement => answer.state != State::Failed,
+            Fault::NoStatement => answer.state != State::Failed,
+            // Another node has waited and tried already.
+            _ if remote => false,
+            Fault::Busy => answer.state != State::Failed,
             Fault::Lagging | Fault::ReadOnly => !in_transaction,
             Fault::Failed | Fault::Timeout => {
                 let retries = operation.sent <= FAILED_READ_RETRIES;
@@ -332,6 +336,9 @@
         let now = self.now;
         match fault {
             Fault::ReadOnly => {
+                if self.is_remote(&from.service) {
+                    return;
+                }
                 if let Some(group) = self.groups.get_mut(&from.service)
                     && group.leads(&from.endpoint)
                 {
@@ -441,6 +448,11 @@
         let (service, endpoint_id) = (connection.service.clone(), connection.endpoint.clone());
         let ready = connection.ready;
         debug!(connection = id, endpoint = %endpoint_id, ready, ?loss, "connection is lost");
+        if *loss == Loss::Refused(Fault::NoDatabase) {
+            self.drop_connection(id);
+            self.reject_starts(&service);
+            return;
+        }
         if let Some(endpoint) = self.endpoint_mut(&service, &endpoint_id)
             && !ready
         {
@@ -524,7 +536,7 @@
     /// Sends the reads that an endpoint keeps silent about to others.
     pub(super) fn move_reads(&mut self, service: &ServiceName, endpoint: &EndpointId) {
         let now = self.now;
-        let connections = self.connections_of(endpoint);
+        let connections = self.connections_of(service, endpoint);
         let mut moved = Vec::new();
         for (id, session) in &mut self.sessions {
             if session.transaction.is_some() {
--- a/crates/router/src/router/callers.rs
+++ b/crates/router/src/router/callers.rs
@@ -3,15 +3,16 @@
 use tamarackbend_policy::code::Code;
 use tracing::{debug, warn};
 
+use super::peers::remote_route;
 use super::{Action, Router};
 use crate::configuration::{Consistency, Route};
 use crate::connection::Purpose;
 use crate::message::{
-    Access, Answer, Command, ConnectionId, Fault, Order, Outcome, Request, ServiceName, SessionId,
-    State, Statement, Time,
+    Access, Answer, Command, ConnectionId, Fault, Order, Outcome, Position, Request, ServiceName,
+    SessionId, State, Statement, Time,
 };
 use crate::session::{Need, Operation, Phase, Prepared, Stage, Transaction};
-use crate::settings::{RETRY_BUSY, RETRY_NO_PRIMARY};
+use crate::settings::{LEAVE_ROTATION, RETRY_BUSY, RETRY_NO_PRIMARY};
 
 /// How long an unknown database waits for a fresh configuration before it is refused.
 const FRESH_WAIT: Time = Time::from_millis(400);
@@ -40,12 +41,21 @@
                 self.fail_transaction(id);
                 self.refuse(id, Fault::Malformed, Code::BadMessage, None);
             }
-            Request::Statement { id: statement_id, statement } => {
+            Request::Reset => {
+                session.values.clear();
+                session.prepared.clear();
+                self.reply_done(id);
+            }
+            Request::Statement { id: statement_id, statement, floor } => {
                 if session.current.is_some() && session.backlog.len() < BACKLOG_MOST {
-                    let request = Request::Statement { id: statement_id, statement };
+                    let request = Request::Statement { id: statement_id, statement, floor };
                     session.backlog.push_back(request);
                     return;
                 }
+                if let Some(floor) = floor {
+                    self.raise_floor(id, floor);
+                }
+                let Some(session) = self.sessions.get(&id) else { return };
                 if session.database.is_none() || session.current.is_some() {
                     self.reject(id, Fault::Malformed, Code::BadMessage);
                     return;
@@ -73,9 +83,17 @@
             self.reject(id, Fault::Malformed, Code::BadMessage);
             return;
         }
-        session.database = Some(database);
+        session.database = Some(database.clone());
+        if self.holds != Some(true) {
+            self.start_remote(id, &database);
+            return;
+        }
+        if self.stopping.is_some_and(|since| now >= since + LEAVE_ROTATION) {
+            self.reject(id, Fault::Busy, Code::Draining);
+            return;
+        }
         if known {
-            self.actions.push(Action::Welcome(id));
+            self.welcome(id);
             return;
         }
         // A configuration that has just been acknowledged may name it.
@@ -92,7 +110,7 @@
             let Some(session) = self.sessions.get(&id) else { continue };
             let database = session.database.clone().unwrap_or_default();
             if self.route(&database).is_some() {
-                self.actions.push(Action::Welcome(id));
+                self.welcome(id);
             } else if self.now >= since + FRESH_WAIT || (fresh && self.now > since) {
                 self.reject(id, Fault::NoDatabase, Code::NoSuchDatabase);
             } else {
@@ -101,7 +119,14 @@
         }
     }
 
-    fn reject(&mut self, id: SessionId, fault: Fault, code: Code) {
+    pub(super) fn welcome(&mut self, id: SessionId) {
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.is_open = true;
+            self.actions.push(Action::Welcome(id));
+        }
+    }
+
+    pub(super) fn reject(&mut self, id: SessionId, fault: Fault, code: Code) {
         let outcome = Outcome::refusal(fault, code, None);
         let answer =
             Answer { rows: Vec::new(), outcome, state: State::Idle, position: None, status: None };
@@ -157,7 +182,18 @@
         }
     }
 
+    fn raise_floor(&mut self, id: SessionId, floor: Position) {
+        let service = self.session_route(id).map(|route| route.service);
+        if let (Some(service), Some(session)) = (service, self.sessions.get_mut(&id)) {
+            session.raise(&service, floor);
+        }
+    }
+
     fn session_route(&self, id: SessionId) -> Option<Route> {
+        let session = self.sessions.get(&id)?;
+        if let Some(service) = &session.remote {
+            return Some(remote_route(service));
+        }
         self.route(self.sessions.get(&id)?.database.as_ref()?).cloned()
     }
 
--- a/crates/router/src/router/dispatch.rs
+++ b/crates/router/src/router/dispatch.rs
@@ -3,7 +3,7 @@
 use super::Router;
 use super::callers::allows_replicas;
 use crate::configuration::Consistency;
-use crate::connection::{Connection, Purpose};
+use crate::connection::Purpose;
 use crate::endpoint::Endpoint;
 use crate::group::Group;
 use crate::message::{
@@ -11,7 +11,7 @@
     Time,
 };
 use crate::session::{Need, Phase, Session, Stage};
-use crate::settings::{CONNECTIONS_BASE, CONNECTIONS_MOST, CONNECTIONS_SHARE};
+use crate::settings::{CONNECTIONS_LEAST, CONNECTIONS_MOST, CONNECTIONS_SHARE};
 
 /// Added to the cost of the primary for reads that replicas can serve as well: writes need it.
 const PRIMARY_PENALTY: Time = Time::from_millis(10);
@@ -58,6 +58,9 @@
 
     fn place(&mut self, service: &ServiceName, id: SessionId) -> Placed {
         let Some(session) = self.sessions.get(&id) else { return Placed::Done };
+        if session.remote.is_some() && !session.is_open {
+            return self.place_start(service, id);
+        }
         match session.transaction.as_ref().map(|open| open.phase) {
             Some(Phase::Waiting) => return self.place_begin(service, id),
             Some(Phase::Opening(_) | Phase::Failed { .. }) => return Placed::Done,
@@ -86,8 +89,9 @@
             self.open_connections(service, need, &avoids_of(&open.avoid, now));
             return Placed::Not;
         };
-        let begin = Statement::Begin { read_only: position.is_some() };
-        let command = Command::new(Order::Statement(begin)).with_after(position);
+        let read_only = position.is_some() && (open.read_only || !self.is_remote(service));
+        let begin = Statement::Begin { read_only };
+        let command = Command::new(Order::Statement(begin)).with_after(position.filter(is_known));
         let mut commands = self.setup(connection, id, None);
         commands.push((command, Purpose::Begin(id)));
         if let Some(state) = self.connections.get_mut(&connection) {
@@ -122,6 +126,7 @@
         let service = session.transaction.as_ref().map(|open| open.route.service.clone());
         if let Some(service) = service
             && !proven
+            && !self.is_remote(&service)
         {
             self.renew_evidence(&service);
         }
@@ -143,6 +148,7 @@
         };
         let avoids = |endpoint: &EndpointId| operation.avoids(endpoint, now);
         let chosen = self.choose(service, need, session, &avoids, false);
+        let pass_on = self.is_remote(service);
         let avoid = avoids_of(&operation.avoid, now);
         let Some(operation) = self.sessions.get_mut(&id).and_then(|s| s.current.as_mut()) else {
             return Placed::Done;
@@ -154,14 +160,14 @@
         };
         operation.stage = Stage::Sent { connection, at: now };
         operation.sent += 1;
-        if !matches!(need, Need::Position(_)) {
+        if !matches!(need, Need::Position(_)) && !self.is_remote(service) {
             self.renew_evidence(service);
         }
         let after = match need {
-            Need::Position(position) => Some(position),
+            Need::Position(position) => Some(position).filter(is_known),
             _ => None,
         };
-        self.send_statement(id, connection, after, need == Need::ProvenPrimary);
+        self.send_statement(id, connection, after, need == Need::ProvenPrimary && !pass_on);
         Placed::Done
     }
 
@@ -220,6 +226,10 @@
     ) -> Option<Position> {
         let age = allows_replicas(consistency)?;
         let group = self.groups.get(service)?;
+        if group.is_remote {
+            let own = session.commits.get(service).copied();
+            return Some(own.unwrap_or(Position { term: 0, number: 0 }));
+        }
         let position = group.evidence.position_since(received.saturating_sub(age))?;
         match (consistency, session.commits.get(service)) {
             (Consistency::Session(_), Some(own)) => Some(position.max(*own)),
@@ -228,7 +238,7 @@
     }
 
     /// Returns a free connection to the best endpoint for `need`.
-    fn choose(
+    pub(super) fn choose(
         &self,
         service: &ServiceName,
         need: Need,
@@ -238,11 +248,12 @@
     ) -> Option<ConnectionId> {
         let group = self.groups.get(service)?;
         for id in self.candidates(group, need, avoids) {
-            let connections = self.connections.values().filter(|c| c.endpoint == id);
+            let connections =
+                self.connections.values().filter(|c| c.endpoint == id && c.service == *service);
             if pins {
                 let pinned = connections.clone().filter(|c| c.session.is_some()).count();
                 // One connection stays for short statements.
-                if pinned + 1 >= CONNECTIONS_MOST {
+                if !group.is_remote && pinned + 1 >= self.connections_most(group) {
                     continue;
                 }
             }
@@ -265,6 +276,13 @@
         let usable = |id: &EndpointId, endpoint: &Endpoint| {
             endpoint.suspect.is_none() && !avoids(id) && !self.has_left(endpoint)
         };
+        if group.is_remote {
+            let ids = group.endpoints.iter().filter(|(id, endpoint)| usable(id, endpoint));
+            let mut ranked: Vec<_> =
+                ids.map(|(id, _)| (self.peer_rank(group, id), id.clone())).collect();
+            ranked.sort();
+            return ranked.into_iter().map(|(_, id)| id).collect();
+        }
         match need {
             Need::Primary | Need::ProvenPrimary | Need::Transaction => {
                 let Some(lead) = &group.lead else { return Vec::new() };
@@ -308,11 +326,23 @@
     }
 
     /// Opens a connection to the best endpoint for `need` if it may have one more.
-    fn open_connections(&mut self, service: &ServiceName, need: Need, avoid: &[EndpointId]) {
+    pub(super) fn open_connections(
+        &mut self,
+        service: &ServiceName,
+        need: Need,
+        avoid: &[EndpointId],
+    ) {
         let Some(group) = self.groups.get(service) else { return };
         let candidates = self.candidates(group, need, &|id| avoid.contains(id));
         let Some(best) = candidates.into_iter().next() else { return };
-        self.open_connection(service, &best, CONNECTIONS_MOST);
+        let most = self.connections_most(group);
+        self.open_connection(service, &best, most);
+    }
+
+    /// Returns how many connections this node may open to one endpoint of a group.
+    pub(super) fn connections_most(&self, group: &Group) -> usize {
+        let share = f64::from(group.connections) * CONNECTIONS_SHARE / self.holders.max(1) as f64;
+        (share as usize).clamp(CONNECTIONS_LEAST, CONNECTIONS_MOST)
     }
 
     /// Opens a connection to an endpoint unless one is being opened or there are enough.
@@ -323,29 +353,31 @@
         if now < endpoint.connect_after {
             return;
         }
-        let mine: Vec<&Connection> =
-            self.connections.values().filter(|c| c.endpoint == *id).collect();
-        if mine.iter().any(|c| !c.ready) || mine.len() >= most {
-            return;
-        }
-        let limit = f64::from(group.connections) * CONNECTIONS_SHARE;
-        let crowded = endpoint
-            .status
-            .is_some_and(|(_, status)| f64::from(status.connections) >= limit && limit > 0.0);
-        if mine.len() >= CONNECTIONS_BASE && crowded {
+        let mine = self.connections.values().filter(|c| c.endpoint == *id && c.service == *service);
+        let opening = mine.clone().filter(|c| !c.ready).count();
+        let enough = match group.is_remote {
+            true => opening >= group.waiting.len().max(1),
+            false => opening > 0 || mine.count() >= most,
+        };
+        if enough {
             return;
         }
         self.connect(service, id);
     }
 }
 
+/// Returns whether a position says anything.
+fn is_known(position: &Position) -> bool {
+    position.term > 0
+}
+
 fn avoids_of(avoid: &[(EndpointId, Time)], now: Time) -> Vec<EndpointId> {
     avoid.iter().filter(|(_, until)| now < *until).map(|(id, _)| id.clone()).collect()
 }
 
 /// Whether waiting work was placed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Placed {
+pub(super) enum Placed {
     /// It no longer waits.
     Done,
     /// It still waits.
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod dispatch;
 mod lease;
+mod peers;
 mod probes;
 mod promotion;
 
@@ -18,6 +19,7 @@
 use crate::endpoint::Endpoint;
 use crate::failover::{Promotion, Record, RecordName};
 use crate::group::Group;
+use crate::membership::Peer;
 use crate::message::{
     Answer, Command, ConnectionId, EndpointId, Fault, Position, Request, Role, ServiceName,
     SessionId, Time,
@@ -26,6 +28,7 @@
 use crate::settings::{CONNECT_TIMEOUT, PAUSE_GAP, Settings};
 
 use lease::Holding;
+use peers::database_of;
 
 /// What has happened.
 #[derive(Clone, Debug, PartialEq)]
@@ -48,6 +51,8 @@
     StoreBack,
     /// The store does not answer.
     StoreAway,
+    /// The nodes of the fleet are known, or have changed.
+    Peers(Vec<Peer>),
     /// A configuration was read.
     Configured(Configuration),
     /// A record was read.
@@ -111,6 +116,15 @@
         /// The endpoint.
         entry: Entry,
     },
+    /// Open a channel to a node that holds connections.
+    Open {
+        /// Name of the new connection.
+        connection: ConnectionId,
+        /// The node, as an endpoint.
+        entry: Entry,
+        /// Database of the channel's session.
+        database: String,
+    },
     /// Send commands to an endpoint.
     Send(ConnectionId, Vec<Command>),
     /// Close a connection to an endpoint.
@@ -130,6 +144,8 @@
     },
     /// Read the configuration now.
     Refresh,
+    /// Follow the configuration and the directory, or no longer.
+    Follow(bool),
     /// Tell the balancer whether to send callers.
     Ready(bool),
     /// End the process.
@@ -148,6 +164,9 @@
     sessions: HashMap<SessionId, Session>,
     connections: BTreeMap<ConnectionId, Connection>,
     next_connection: ConnectionId,
+    peers: Vec<Peer>,
+    holders: usize,
+    holds: Option<bool>,
     starting: Vec<(SessionId, Time)>,
     resumed: Vec<SessionId>,
     refreshed: Option<Time>,
@@ -170,6 +189,9 @@
             sessions: HashMap::new(),
             connections: BTreeMap::new(),
             next_connection: 1,
+            peers: Vec::new(),
+            holders: 1,
+            holds: None,
             starting: Vec::new(),
             resumed: Vec::new(),
             refreshed: None,
@@ -200,6 +222,7 @@
                 self.store_away = None;
                 self.directory.restart_grace(now);
             }
+            Event::Peers(peers) => self.peers_changed(peers),
             Event::Configured(configuration) => self.configured(configuration),
             Event::Fetched(name, fetch) => self.fetched(&name, fetch),
             Event::Written(name, write) => self.written(&name, &write),
@@ -319,7 +342,7 @@
 
     fn remove_endpoint(&mut self, service: &ServiceName, id: &EndpointId, why: &str) {
         let now = self.now;
-        for connection in self.connections_of(id) {
+        for connection in self.connections_of(service, id) {
             self.disconnect(connection, why);
         }
         if let Some(group) = self.groups.get_mut(service) {
@@ -330,8 +353,9 @@
         }
     }
 
-    fn connections_of(&self, id: &EndpointId) -> Vec<ConnectionId> {
-        self.connections.values().filter(|c| c.endpoint == *id).map(|c| c.id).collect()
+    fn connections_of(&self, service: &ServiceName, id: &EndpointId) -> Vec<ConnectionId> {
+        let mine = self.connections.values();
+        mine.filter(|c| c.endpoint == *id && c.service == *service).map(|c| c.id).collect()
     }
 
     /// Sends commands and remembers why.
@@ -355,7 +379,11 @@
         self.next_connection += 1;
         let state = Connection::new(connection, service.clone(), id.clone(), self.now);
         self.connections.insert(connection, state);
-        self.actions.push(Action::Connect { connection, entry });
+        let action = match database_of(service) {
+            Some(database) => Action::Open { connection, entry, database: database.to_owned() },
+            None => Action::Connect { connection, entry },
+        };
+        self.actions.push(action);
     }
 
     fn disconnect(&mut self, connection: ConnectionId, why: &str) {
--- /dev/null
+++ b/crates/router/src/router/peers.rs
@@ -0,0 +1,225 @@
+//! Sessions that other nodes serve.
+//!
+//! A node that holds no connections treats the nodes that do as the endpoints of each database:
+//! placement, retries and the handling of lost connections are the same. What a session has set
+//! stays here and is replayed, so a holder may be lost at any time.
+
+use std::rc::Rc;
+
+use tamarackbend_policy::code::Code;
+use tracing::info;
+
+use super::{Action, Router};
+use crate::configuration::{Consistency, Route};
+use crate::directory::Entry;
+use crate::endpoint::Endpoint;
+use crate::group::Group;
+use crate::membership::{self, Peer};
+use crate::message::{ConnectionId, EndpointId, Fault, Role, ServiceName, SessionId, Time};
+use crate::session::Need;
+use crate::settings::{CONNECT_TIMEOUT, REMOTE_TIMEOUT, START_TIMEOUT};
+
+use super::dispatch::Placed;
+
+/// Beginning of the names of groups of nodes; services have no such names.
+const REMOTE_PREFIX: &str = "\0peers/";
+/// Time without sessions after which a group of nodes is forgotten.
+const REMOTE_IDLE: Time = Time::from_secs(30);
+
+impl Router {
+    pub(super) fn peers_changed(&mut self, peers: Vec<Peer>) {
+        if peers == self.peers {
+            return;
+        }
+        let holders = membership::holders(&peers);
+        let count = holders.len();
+        let holds = holders.iter().any(|peer| *peer.name == *self.settings.node);
+        let holders: Vec<Peer> = holders.into_iter().cloned().collect();
+        if self.holds != Some(holds) || self.holders != count {
+            info!(nodes = peers.len(), holders = count, holds, "fleet is known");
+        }
+        if self.holds != Some(holds) {
+            self.actions.push(Action::Follow(holds));
+        }
+        self.peers = peers;
+        self.holders = count;
+        self.holds = Some(holds);
+        let services: Vec<ServiceName> =
+            self.groups.iter().filter(|(_, g)| g.is_remote).map(|(name, _)| name.clone()).collect();
+        for service in services {
+            self.update_remote(&service, &holders);
+        }
+    }
+
+    /// Brings the endpoints of a group of nodes in line with the fleet.
+    fn update_remote(&mut self, service: &ServiceName, holders: &[Peer]) {
+        let now = self.now;
+        let Some(group) = self.groups.get(service) else { return };
+        let gone: Vec<EndpointId> = group
+            .endpoints
+            .iter()
+            .filter(|(_, known)| !holders.iter().any(|peer| is_same(peer, &known.entry)))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in gone {
+            self.remove_endpoint(service, &id, "the node no longer holds connections");
+        }
+        for peer in holders.iter().filter(|peer| *peer.name != *self.settings.node) {
+            let distance = self.distance(&peer.failure_domain);
+            let entry = Entry {
+                id: peer.name.clone(),
+                service: service.clone(),
+                address: peer.address,
+                failure_domain: peer.failure_domain.clone(),
+                leaving: false,
+                role: Role::Primary,
+                incarnation: peer.run,
+            };
+            if let Some(group) = self.groups.get_mut(service) {
+                group
+                    .endpoints
+                    .entry(peer.name.clone())
+                    .or_insert_with(|| Endpoint::new(entry, distance, now));
+            }
+        }
+    }
+
+    /// Begins a session that another node is to serve.
+    pub(super) fn start_remote(&mut self, id: SessionId, database: &str) {
+        let service: ServiceName = Rc::from(format!("{REMOTE_PREFIX}{database}"));
+        if !self.groups.contains_key(&service) {
+            let group = Group { is_remote: true, ..Group::default() };
+            self.groups.insert(service.clone(), group);
+            let holders = membership::holders(&self.peers);
+            let holders: Vec<Peer> = holders.into_iter().cloned().collect();
+            self.update_remote(&service, &holders);
+        }
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.remote = Some(service.clone());
+        }
+        self.wait(&service, id);
+    }
+
+    /// Welcomes a session once a node serves its database.
+    pub(super) fn place_start(&mut self, service: &ServiceName, id: SessionId) -> Placed {
+        let Some(session) = self.sessions.get(&id) else { return Placed::Done };
+        if self.now >= session.active + START_TIMEOUT {
+            self.reject(id, Fault::Busy, Code::OwnerUnreachable);
+            return Placed::Done;
+        }
+        let none = |_: &EndpointId| false;
+        if self.choose(service, Need::Primary, session, &none, false).is_some() {
+            self.welcome(id);
+            return Placed::Done;
+        }
+        self.open_connections(service, Need::Primary, &[]);
+        Placed::Not
+    }
+
+    /// Rejects the sessions that wait for a database which no configuration names.
+    pub(super) fn reject_starts(&mut self, service: &ServiceName) {
+        let Some(group) = self.groups.get(service) else { return };
+        let starting: Vec<SessionId> = group
+            .waiting
+            .iter()
+            .filter(|id| self.sessions.get(id).is_some_and(|session| !session.is_open))
+            .copied()
+            .collect();
+        let open: Vec<SessionId> = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| session.is_open && session.remote.as_ref() == Some(service))
+            .filter(|(_, session)| session.current.is_some())
+            .map(|(id, _)| *id)
+            .collect();
+        for id in starting {
+            self.reject(id, Fault::NoDatabase, Code::NoSuchDatabase);
+        }
+        for id in open {
+            self.refuse(id, Fault::NoDatabase, Code::NoSuchDatabase, None);
+        }
+    }
+
+    pub(super) fn is_remote(&self, service: &ServiceName) -> bool {
+        database_of(service).is_some()
+    }
+
+    /// Returns how a node ranks for the database of `group`; less is better.
+    pub(super) fn peer_rank(&self, group: &Group, id: &EndpointId) -> (u64, u64) {
+        let Some(endpoint) = group.endpoints.get(id) else { return (u64::MAX, 0) };
+        let Some(peer) = self.peers.iter().find(|peer| peer.name == *id) else {
+            return (u64::MAX, 0);
+        };
+        let distance = self.distance(&endpoint.entry.failure_domain).as_millis() as u64;
+        let database = database_of(&endpoint.entry.service).unwrap_or_default();
+        membership::rank(peer, database, distance)
+    }
+
+    /// Gives up channels that do not open, and forgets groups that nobody uses.
+    pub(super) fn check_peers(&mut self) {
+        let now = self.now;
+        let late: Vec<ConnectionId> = self
+            .connections
+            .values()
+            .filter(|c| !c.ready && self.is_remote(&c.service) && now >= c.opened + CONNECT_TIMEOUT)
+            .map(|c| c.id)
+            .collect();
+        for id in late {
+            if let Some(connection) = self.connections.get(&id) {
+                let (service, endpoint) = (connection.service.clone(), connection.endpoint.clone());
+                if let Some(endpoint) = self.endpoint_mut(&service, &endpoint) {
+                    endpoint.suspect = Some(now);
+                }
+            }
+            self.disconnect(id, "the channel was not opened in time");
+        }
+        let forgiven = crate::settings::RECONNECT_PAUSE;
+        for group in self.groups.values_mut().filter(|group| group.is_remote) {
+            for endpoint in group.endpoints.values_mut() {
+                if endpoint.suspect.is_some_and(|since| now >= since + forgiven * 4) {
+                    endpoint.suspect = None;
+                }
+            }
+        }
+        self.forget_remotes();
+    }
+
+    fn forget_remotes(&mut self) {
+        let now = self.now;
+        let unused: Vec<ServiceName> = self
+            .groups
+            .iter()
+            .filter(|(_, group)| group.is_remote && now >= group.used + REMOTE_IDLE)
+            .map(|(name, _)| name.clone())
+            .filter(|name| !self.sessions.values().any(|s| s.remote.as_ref() == Some(name)))
+            .collect();
+        for service in unused {
+            let connections = self.connections.values().filter(|c| c.service == service);
+            let connections: Vec<ConnectionId> = connections.map(|c| c.id).collect();
+            for connection in connections {
+                self.disconnect(connection, "nobody uses the database");
+            }
+            self.groups.remove(&service);
+        }
+    }
+}
+
+/// Returns the database of a group of nodes; none if the group is a service.
+pub(super) fn database_of(service: &ServiceName) -> Option<&str> {
+    service.strip_prefix(REMOTE_PREFIX)
+}
+
+/// Returns the route of sessions that another node serves, which applies the real one.
+pub(super) fn remote_route(service: &ServiceName) -> Route {
+    Route {
+        service: service.clone(),
+        consistency: Consistency::Session(REMOTE_TIMEOUT),
+        timeout: REMOTE_TIMEOUT,
+        objective: REMOTE_TIMEOUT,
+        priority: 0,
+    }
+}
+
+fn is_same(peer: &Peer, entry: &Entry) -> bool {
+    peer.name == entry.id && peer.address == entry.address && peer.run == entry.incarnation
+}
--- a/crates/router/src/router/probes.rs
+++ b/crates/router/src/router/probes.rs
@@ -9,8 +9,7 @@
 };
 use crate::session::Phase;
 use crate::settings::{
-    CONNECT_TIMEOUT, CONNECTIONS_MOST, EVIDENCE_AGE, LEAVE_ROTATION, POSITION_INTERVAL,
-    PROBE_AFTER, PROBE_TIMEOUT,
+    CONNECT_TIMEOUT, EVIDENCE_AGE, LEAVE_ROTATION, POSITION_INTERVAL, PROBE_AFTER, PROBE_TIMEOUT,
 };
 
 /// Time without requests after which a group is no longer sampled.
@@ -30,7 +29,13 @@
             self.apply_effect(effect);
         }
         self.check_sessions();
-        let services: Vec<ServiceName> = self.groups.keys().cloned().collect();
+        self.check_peers();
+        let services: Vec<ServiceName> = self
+            .groups
+            .iter()
+            .filter(|(_, g)| !g.is_remote)
+            .map(|(name, _)| name.clone())
+            .collect();
         for service in &services {
             self.check_connections(service);
             self.sample(service);
@@ -41,8 +46,14 @@
     }
 
     fn check_ready(&mut self) {
-        let known = self.configuration.is_some()
-            && self.groups.values().any(|group| !group.endpoints.is_empty());
+        let known = match self.holds {
+            None => false,
+            Some(false) => self.holders > 0,
+            Some(true) => {
+                self.configuration.is_some()
+                    && self.groups.values().any(|group| !group.endpoints.is_empty())
+            }
+        };
         if known && !self.ready && self.stopping.is_none() {
             info!("node is ready");
             self.ready = true;
@@ -55,15 +66,16 @@
         let now = self.now;
         let Some(group) = self.groups.get(service) else { return };
         let ids: Vec<EndpointId> = group.endpoints.keys().cloned().collect();
+        let most = self.connections_most(group) + 1;
         for id in ids {
             self.check_opening(service, &id);
             self.check_silence(service, &id);
-            let connections = self.connections_of(&id);
+            let connections = self.connections_of(service, &id);
             let Some(endpoint) = self.endpoint_mut(service, &id) else { continue };
             let waits = endpoint.suspect.is_some() || !endpoint.commands.is_empty();
             let gone = endpoint.leaving_since.is_some() && connections.is_empty();
             if (connections.is_empty() && !gone) || waits {
-                self.open_connection(service, &id, CONNECTIONS_MOST + 1);
+                self.open_connection(service, &id, most);
             }
             let Some(endpoint) = self.endpoint_mut(service, &id) else { continue };
             if endpoint.status_asked.is_some_and(|asked| now >= asked + STATUS_TIMEOUT) {
@@ -248,7 +260,8 @@
         }
         let free = self.connections.values().find(|c| c.endpoint == *id && c.is_free());
         let Some(connection) = free.map(|c| c.id) else {
-            self.open_connection(service, id, CONNECTIONS_MOST + 1);
+            let most = self.groups.get(service).map_or(1, |group| self.connections_most(group) + 1);
+            self.open_connection(service, id, most);
             return;
         };
         let Some(endpoint) = self.endpoint_mut(service, id) else { return };
--- a/crates/router/src/router/promotion.rs
+++ b/crates/router/src/router/promotion.rs
@@ -20,7 +20,12 @@
 impl Router {
     /// Begins and carries on changes of primaries.
     pub(super) fn check_primaries(&mut self) {
-        let services: Vec<ServiceName> = self.groups.keys().cloned().collect();
+        let services: Vec<ServiceName> = self
+            .groups
+            .iter()
+            .filter(|(_, g)| !g.is_remote)
+            .map(|(name, _)| name.clone())
+            .collect();
         for service in &services {
             self.begin_change(service);
             self.vote(service);
--- a/crates/router/src/session.rs
+++ b/crates/router/src/session.rs
@@ -35,6 +35,10 @@
 pub struct Session {
     /// Database, once the session has started.
     pub database: Option<String>,
+    /// Group of the nodes that serve the session; none if this node does.
+    pub remote: Option<ServiceName>,
+    /// Whether the caller was told that its session is open.
+    pub is_open: bool,
     /// Values.
     pub values: Values,
     /// Prepared statements by name.
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -36,12 +36,16 @@
 pub const BUSY_PAUSE: Duration = Duration::from_millis(20);
 /// Pause before a replica that lagged is asked for newer data again.
 pub const LAGGING_PAUSE: Duration = Duration::from_millis(60);
-/// Connections that a node opens to an endpoint without regard to others.
-pub const CONNECTIONS_BASE: usize = 2;
-/// Most connections of a node to one endpoint.
-pub const CONNECTIONS_MOST: usize = 3;
-/// Share of an endpoint's connections up to which nodes open more than the base.
+/// Least connections that a node may open to one endpoint.
+pub const CONNECTIONS_LEAST: usize = 2;
+/// Most connections of a node to one endpoint; endpoints run fewer statements than this at once.
+pub const CONNECTIONS_MOST: usize = 12;
+/// Share of an endpoint's connections that all nodes together open, so that restarts find room.
 pub const CONNECTIONS_SHARE: f64 = 0.8;
+/// Limit for a statement that another node serves, which has limits of its own.
+pub const REMOTE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Longest wait of a new session for a node that serves it.
+pub const START_TIMEOUT: Duration = Duration::from_millis(1700);
 /// How long an endpoint that vanished from the directory is kept: the directory's own delay after
 /// an outage.
 pub const VANISHED_GRACE: Duration = Duration::from_millis(2500);
--- a/crates/router/tests/histories/callers.rs
+++ b/crates/router/tests/histories/callers.rs
@@ -73,7 +73,7 @@
             self.began = Some(id.clone());
         }
         self.waits = Some((id.clone(), step));
-        world.request(self.node, self.session, Request::Statement { id, statement });
+        world.request(self.node, self.session, Request::Statement { id, statement, floor: None });
     }
 
     /// Takes the answer to the caller's statement.
--- a/crates/router/tests/histories/world.rs
+++ b/crates/router/tests/histories/world.rs
@@ -11,6 +11,7 @@
 use tamarackbend_router::configuration::{Configuration, Consistency, Route, Service};
 use tamarackbend_router::directory::{Change, Entry};
 use tamarackbend_router::failover::{Promotion, Record, RecordName};
+use tamarackbend_router::membership::Peer;
 use tamarackbend_router::message::{
     Answer, Command, ConnectionId, Fault, Request, Role, SessionId,
 };
@@ -442,7 +443,15 @@
         services: vec![Service { name: SERVICE.into(), connections: 76 }],
         transaction_idle: Duration::from_secs(3),
     };
+    let peer = Peer {
+        name: format!("node-{index}").into(),
+        failure_domain: "near".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 2)),
+        weight: 170,
+        run: index as u64 + 1,
+    };
     let start = VecDeque::from([
+        (START, Event::Peers(vec![peer])),
         (START, Event::Configured(configuration)),
         (START, Event::Directory(Change::List(listed.to_vec()))),
     ]);
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,7 +7,7 @@
 //! use bytes::BytesMut;
 //! use tamarackbend_wire::{frame::Body, Codec, Decoder, Encoder, Frame, Heartbeat};
 //!
-//! let mut codec = Codec::new();
+//! let mut codec: Codec = Codec::new();
 //! let mut buffer = BytesMut::new();
 //! let heartbeat = Heartbeat { config_version: 7, ..Heartbeat::default() };
 //! codec.encode(Frame::new(Body::Heartbeat(heartbeat)), &mut buffer)?;
