--- a/crates/router/src/message.rs
+++ b/crates/router/src/message.rs
@@ -94,6 +94,23 @@
     },
 }
 
+impl Statement {
+    /// Returns the name of its kind in logs.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Statement::Begin { .. } => "begin",
+            Statement::Commit => "commit",
+            Statement::Rollback => "rollback",
+            Statement::Read { .. } => "read",
+            Statement::Write { .. } => "write",
+            Statement::Set { .. } => "set",
+            Statement::Prepare { .. } => "prepare",
+            Statement::Execute { .. } => "execute",
+            Statement::Close { .. } => "close",
+        }
+    }
+}
+
 /// Message of a caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Request {
--- a/crates/router/src/router/answers.rs
+++ b/crates/router/src/router/answers.rs
@@ -3,6 +3,7 @@
 use tamarackbend_policy::code::Code;
 use tracing::{debug, info, trace};
 
+use super::record::fault_label;
 use super::{Action, Loss, Router};
 use crate::connection::{Awaited, Purpose};
 use crate::evidence::Sample;
@@ -52,6 +53,7 @@
                 endpoint.applied = Some((now, position));
             }
         }
+        self.record_answer(&awaited.purpose, awaited.sent);
         let state = answer.state;
         let from = From { connection: id, service, endpoint: endpoint_id, awaited };
         self.take(&from, answer);
@@ -304,6 +306,9 @@
         }
         self.note_fault(from, fault, Some(need));
         if again {
+            if let Some(operation) = self.sessions.get(&id).and_then(|s| s.current.as_ref()) {
+                self.record_retry(operation, &from.endpoint, fault_label(fault));
+            }
             self.wait(&service, id);
             return;
         }
@@ -526,8 +531,9 @@
             operation.stage = Stage::Waiting;
             operation.answer = None;
             operation.avoid.push((endpoint.clone(), now + RECONNECT_PAUSE));
-            let service = operation.route.service.clone();
-            self.wait(&service, id);
+            let operation = operation.clone();
+            self.record_retry(&operation, endpoint, "connection lost");
+            self.wait(&operation.route.service, id);
         } else {
             self.refuse(id, Fault::InDoubt, Code::ConnectionLost, None);
         }
--- a/crates/router/src/router/callers.rs
+++ b/crates/router/src/router/callers.rs
@@ -1,7 +1,7 @@
 //! Requests of callers: what is answered here, what becomes an operation, and refusals.
 
 use tamarackbend_policy::code::Code;
-use tracing::{debug, warn};
+use tracing::debug;
 
 use super::peers::remote_route;
 use super::{Action, Router};
@@ -12,7 +12,7 @@
     SessionId, State, Statement, Time,
 };
 use crate::session::{Need, Operation, Phase, Prepared, Stage, Transaction};
-use crate::settings::{LEAVE_ROTATION, RETRY_BUSY, RETRY_NO_PRIMARY};
+use crate::settings::{LEAVE_ROTATION, RETRY_BUSY, RETRY_NO_PRIMARY, START_TIMEOUT};
 
 /// How long an unknown database waits for a fresh configuration before it is refused.
 const FRESH_WAIT: Time = Time::from_millis(400);
@@ -84,7 +84,7 @@
             return;
         }
         session.database = Some(database.clone());
-        if self.holds != Some(true) {
+        if self.holds == Some(false) {
             self.start_remote(id, &database);
             return;
         }
@@ -98,7 +98,8 @@
         }
         // A configuration that has just been acknowledged may name it.
         self.starting.push((id, now));
-        if self.refreshed.is_none_or(|at| now >= at + REFRESH_INTERVAL) {
+        let configured = self.configuration.is_some();
+        if configured && self.refreshed.is_none_or(|at| now >= at + REFRESH_INTERVAL) {
             self.refreshed = Some(now);
             self.actions.push(Action::Refresh);
         }
@@ -111,6 +112,13 @@
             let database = session.database.clone().unwrap_or_default();
             if self.route(&database).is_some() {
                 self.welcome(id);
+            } else if self.holds == Some(false) {
+                self.start_remote(id, &database);
+            } else if self.configuration.is_none() {
+                match self.now >= since + START_TIMEOUT {
+                    true => self.reject(id, Fault::Busy, Code::OwnerUnreachable),
+                    false => self.starting.push((id, since)),
+                }
             } else if self.now >= since + FRESH_WAIT || (fresh && self.now > since) {
                 self.reject(id, Fault::NoDatabase, Code::NoSuchDatabase);
             } else {
@@ -298,7 +306,7 @@
         }
         answer.state = session.state();
         if let Some(operation) = operation {
-            log_outcome(now, id, &operation, &answer);
+            self.record_outcome(id, &operation, &answer);
         }
         self.actions.push(Action::Reply(id, answer));
     }
@@ -436,19 +444,3 @@
         Consistency::Bounded(age) | Consistency::Session(age) => Some(age),
     }
 }
-
-fn log_outcome(now: Time, session: SessionId, operation: &Operation, answer: &Answer) {
-    let waited_ms = now.saturating_sub(operation.received).as_millis() as u64;
-    let (id, service, sent) = (&operation.id, &operation.route.service, operation.sent);
-    match &answer.outcome {
-        Outcome::Complete(_) => {
-            debug!(request = %id, session, %service, need = ?operation.need, sent, waited_ms, "served");
-        }
-        Outcome::Error { fault, text } => {
-            warn!(
-                request = %id, session, %service, need = ?operation.need, stage = ?operation.stage,
-                sent, waited_ms, ?fault, text, "failed"
-            );
-        }
-    }
-}
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -7,6 +7,7 @@
 mod peers;
 mod probes;
 mod promotion;
+mod record;
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -19,7 +20,7 @@
 use crate::endpoint::Endpoint;
 use crate::failover::{Promotion, Record, RecordName};
 use crate::group::Group;
-use crate::membership::Peer;
+use crate::membership::{DIRECT_FLEET_MOST, Peer};
 use crate::message::{
     Answer, Command, ConnectionId, EndpointId, Fault, Position, Request, Role, ServiceName,
     SessionId, Time,
@@ -190,7 +191,7 @@
             connections: BTreeMap::new(),
             next_connection: 1,
             peers: Vec::new(),
-            holders: 1,
+            holders: DIRECT_FLEET_MOST,
             holds: None,
             starting: Vec::new(),
             resumed: Vec::new(),
--- a/crates/router/src/router/peers.rs
+++ b/crates/router/src/router/peers.rs
@@ -28,6 +28,8 @@
 
 impl Router {
     pub(super) fn peers_changed(&mut self, peers: Vec<Peer>) {
+        let mut peers = peers;
+        peers.sort_by(|a, b| a.name.cmp(&b.name));
         if peers == self.peers {
             return;
         }
@@ -38,7 +40,7 @@
         if self.holds != Some(holds) || self.holders != count {
             info!(nodes = peers.len(), holders = count, holds, "fleet is known");
         }
-        if self.holds != Some(holds) {
+        if self.holds.unwrap_or(true) != holds {
             self.actions.push(Action::Follow(holds));
         }
         self.peers = peers;
--- a/crates/router/src/router/probes.rs
+++ b/crates/router/src/router/probes.rs
@@ -47,9 +47,9 @@
 
     fn check_ready(&mut self) {
         let known = match self.holds {
-            None => false,
             Some(false) => self.holders > 0,
-            Some(true) => {
+            // The fleet may not be known yet: what this node can serve, it serves.
+            Some(true) | None => {
                 self.configuration.is_some()
                     && self.groups.values().any(|group| !group.endpoints.is_empty())
             }
--- a/crates/router/src/router/promotion.rs
+++ b/crates/router/src/router/promotion.rs
@@ -188,6 +188,7 @@
                 Step::Order(endpoint, order) => self.order(service, &endpoint, order),
                 Step::Promote(endpoint) => {
                     let Some(token) = self.holding.token(now) else { continue };
+                    metrics::counter!("promotions_total").increment(1);
                     info!(%service, %endpoint, token, "endpoint is promoted");
                     self.actions.push(Action::Promote {
                         service: service.clone(),
@@ -196,7 +197,9 @@
                     });
                 }
                 Step::Finish => {
-                    let took_ms = now.saturating_sub(started).as_millis() as u64;
+                    let took = now.saturating_sub(started);
+                    metrics::histogram!("change_of_primary_seconds").record(took.as_secs_f64());
+                    let took_ms = took.as_millis() as u64;
                     info!(%service, took_ms, "change of primary is over");
                     self.end_change(service, Time::ZERO);
                 }
--- /dev/null
+++ b/crates/router/src/router/record.rs
@@ -0,0 +1,132 @@
+//! Log lines and metrics of requests.
+//!
+//! A line of a failed request holds what decided it: the state and age of what this node knew.
+
+use metrics::{counter, histogram};
+use tracing::{debug, info, warn};
+
+use super::Router;
+use crate::connection::Purpose;
+use crate::message::{Answer, EndpointId, Fault, Outcome, SessionId, Time};
+use crate::session::{Need, Operation};
+
+impl Router {
+    /// Records how a caller's statement ended.
+    pub(super) fn record_outcome(
+        &self,
+        session: SessionId,
+        operation: &Operation,
+        answer: &Answer,
+    ) {
+        let waited = self.now.saturating_sub(operation.received);
+        let outcome = match &answer.outcome {
+            Outcome::Complete(_) => "served",
+            Outcome::Error { fault, .. } => fault_label(fault),
+        };
+        let need = need_label(operation.need);
+        counter!("requests_total", "outcome" => outcome, "need" => need).increment(1);
+        histogram!("request_seconds", "need" => need).record(waited.as_secs_f64());
+        match &answer.outcome {
+            Outcome::Complete(_) if waited > operation.route.objective => {
+                info!(
+                    request = %operation.id, session, service = %operation.route.service,
+                    need, sent = operation.sent, waited_ms = millis(waited), "served late"
+                );
+            }
+            Outcome::Complete(_) => {
+                debug!(
+                    request = %operation.id, session, service = %operation.route.service,
+                    need, sent = operation.sent, waited_ms = millis(waited), "served"
+                );
+            }
+            Outcome::Error { fault, text } => self.log_failure(session, operation, fault, text),
+        }
+    }
+
+    fn log_failure(&self, session: SessionId, operation: &Operation, fault: &Fault, text: &str) {
+        let now = self.now;
+        let waited = now.saturating_sub(operation.received);
+        let group = self.groups.get(&operation.route.service);
+        let lead = group.and_then(|group| group.lead.as_ref());
+        let evidence = group.and_then(|group| group.evidence.witnessed());
+        let silent = group.and_then(|group| group.primary()).and_then(|primary| primary.suspect);
+        let age = |since: Option<Time>| since.map(|since| millis(now.saturating_sub(since)));
+        warn!(
+            request = %operation.id,
+            session,
+            service = %operation.route.service,
+            statement = operation.statement.label(),
+            need = need_label(operation.need),
+            stage = operation.stage.label(),
+            sent = operation.sent,
+            waited_ms = millis(waited),
+            fault = fault_label(fault),
+            text,
+            primary = lead.map(|lead| &*lead.endpoint),
+            term = lead.map(|lead| lead.term),
+            primary_silent_ms = age(silent),
+            evidence_ms = age(evidence),
+            store_away_ms = age(self.store_away),
+            configuration = self.configuration.as_ref().map(|known| known.version),
+            "failed"
+        );
+    }
+
+    /// Records that a statement is sent again.
+    pub(super) fn record_retry(&self, operation: &Operation, endpoint: &EndpointId, why: &str) {
+        counter!("retries_total", "reason" => why.to_owned()).increment(1);
+        info!(
+            request = %operation.id, service = %operation.route.service, %endpoint, why,
+            sent = operation.sent, "sent again"
+        );
+    }
+
+    /// Records the time that an answer of an endpoint took.
+    pub(super) fn record_answer(&self, purpose: &Purpose, sent: Time) {
+        let purpose = match purpose {
+            Purpose::Setup => "setup",
+            Purpose::Begin(_) => "begin",
+            Purpose::Statement(..) => "statement",
+            Purpose::Proof(..) => "proof",
+            Purpose::Cleanup => "cleanup",
+            Purpose::Probe => "probe",
+            Purpose::Status => "status",
+            Purpose::Order => "order",
+        };
+        let took = self.now.saturating_sub(sent);
+        histogram!("endpoint_seconds", "purpose" => purpose).record(took.as_secs_f64());
+    }
+}
+
+fn millis(time: Time) -> u64 {
+    time.as_millis() as u64
+}
+
+fn need_label(need: Need) -> &'static str {
+    match need {
+        Need::Primary => "primary",
+        Need::ProvenPrimary => "proven primary",
+        Need::Position(_) => "position",
+        Need::Transaction => "transaction",
+    }
+}
+
+/// Returns the name of a fault in logs and metrics.
+pub(super) fn fault_label(fault: &Fault) -> &'static str {
+    match fault {
+        Fault::Busy => "busy",
+        Fault::Lagging => "lagging",
+        Fault::ReadOnly => "read only",
+        Fault::Misrouted => "misrouted",
+        Fault::TooMany => "too many",
+        Fault::NoStatement => "no statement",
+        Fault::Failed => "failed",
+        Fault::Timeout => "timeout",
+        Fault::NoDatabase => "no database",
+        Fault::TooBig => "too big",
+        Fault::Malformed => "malformed",
+        Fault::Aborted => "aborted",
+        Fault::InDoubt => "in doubt",
+        Fault::Other(_) => "other",
+    }
+}
--- a/crates/router/src/session.rs
+++ b/crates/router/src/session.rs
@@ -152,6 +152,17 @@
     Confirming,
 }
 
+impl Stage {
+    /// Returns its name in logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Stage::Waiting => "waiting",
+            Stage::Sent { .. } => "sent",
+            Stage::Confirming => "confirming",
+        }
+    }
+}
+
 impl Operation {
     /// Returns whether `endpoint` is not to be asked now.
     pub fn avoids(&self, endpoint: &EndpointId, now: Time) -> bool {
