--- a/crates/router/tests/histories/check.rs
+++ b/crates/replica/src/check.rs
@@ -3,14 +3,16 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use tamarackbend_router::message::{Position, Term};
+use tamarackbend_router::message::{Fault, Position, Term};
 
 use crate::endpoint::{Effect, Entry};
 
 /// Record of a history, and what was broken in it.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub struct Check {
+    /// What was broken.
     pub broken: BTreeSet<String>,
+    /// Statements that were answered with success.
     pub served: usize,
     asked: BTreeMap<String, Duration>,
     reads: BTreeMap<String, BTreeSet<Position>>,
@@ -18,7 +20,7 @@
     acknowledged: Vec<(Duration, Position)>,
     rolled_back: BTreeSet<Position>,
     promotions: Vec<(Duration, Term)>,
-    last_token: Option<(u64, usize)>,
+    last_token: Option<(u64, String)>,
 }
 
 /// Which commits a read must see.
@@ -29,13 +31,13 @@
 }
 
 impl Check {
+    /// Notes that a caller sends a statement.
     pub fn asked(&mut self, id: &str, now: Duration) {
         self.asked.insert(id.to_owned(), now);
     }
 
     /// Notes what an endpoint did.
-    pub fn ran(&mut self, now: Duration, effect: &Effect, log: &[Entry]) {
-        let _ = now;
+    pub fn ran(&mut self, effect: &Effect, log: &[Entry]) {
         match effect {
             Effect::Nothing => {}
             Effect::Read { id, holds } => {
@@ -58,13 +60,14 @@
         self.rolled_back.extend(lost);
     }
 
-    pub fn token(&mut self, node: usize, token: u64) {
-        if let Some((last, holder)) = self.last_token
-            && (token < last || (token == last && holder != node))
+    /// Notes the token of a promotion that the platform was asked for.
+    pub fn token(&mut self, node: &str, token: u64) {
+        if let Some((last, holder)) = &self.last_token
+            && (token < *last || (token == *last && holder != node))
         {
             self.broken.insert(format!("token {token} came after {last}"));
         }
-        self.last_token = Some((token, node));
+        self.last_token = Some((token, node.to_owned()));
     }
 
     /// Notes that a read was answered with success; `began` is the statement that began its
@@ -112,3 +115,16 @@
         }
     }
 }
+
+/// Returns whether an error says that nothing of the statement is kept.
+pub fn is_promise(fault: &Fault) -> bool {
+    matches!(
+        fault,
+        Fault::Busy
+            | Fault::Aborted
+            | Fault::Lagging
+            | Fault::ReadOnly
+            | Fault::Misrouted
+            | Fault::TooMany
+    )
+}
--- a/crates/router/tests/histories/endpoint.rs
+++ b/crates/replica/src/endpoint.rs
@@ -1,4 +1,4 @@
-//! Endpoints of the test world: a replicated log with terms, as the product's endpoints keep it.
+//! Endpoints: a replicated log with terms.
 
 use std::time::Duration;
 
@@ -9,8 +9,11 @@
 /// Commit in a log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry {
+    /// Where it is.
     pub position: Position,
+    /// When it was made.
     pub at: Duration,
+    /// Arguments of its writes: an item and its data.
     pub writes: Vec<String>,
 }
 
@@ -30,13 +33,19 @@
 /// Endpoint.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
-    pub name: &'static str,
+    /// Name.
+    pub name: String,
+    /// Part it believes to play.
     pub role: Role,
+    /// Its term.
     pub term: Term,
+    /// Term for which replication is paused; zero if it isn't.
     pub held: Term,
+    /// What it has received.
     pub log: Vec<Entry>,
     /// Entries of the log that are visible to reads.
     pub applied: usize,
+    /// Whether it runs.
     pub is_up: bool,
     /// Since when it reaches another primary.
     pub meets: Option<Duration>,
@@ -47,20 +56,34 @@
 /// What a command did, for the checks.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Effect {
+    /// Nothing that is checked.
     Nothing,
-    Read { id: String, holds: usize },
-    Commit { id: String, entry: Entry },
+    /// A read that saw the first `holds` entries of the log.
+    Read {
+        /// The caller's id.
+        id: String,
+        /// Number of entries.
+        holds: usize,
+    },
+    /// A commit.
+    Commit {
+        /// The caller's id.
+        id: String,
+        /// What was added to the log.
+        entry: Entry,
+    },
 }
 
 impl Endpoint {
-    pub fn new(name: &'static str, role: Role) -> Endpoint {
+    /// Returns an endpoint with an empty database.
+    pub fn new(name: &str, role: Role) -> Endpoint {
         let first = Entry {
             position: Position { term: 1, number: 0 },
             at: Duration::ZERO,
             writes: Vec::new(),
         };
         Endpoint {
-            name,
+            name: name.to_owned(),
             role,
             term: 1,
             held: 0,
@@ -72,10 +95,12 @@
         }
     }
 
+    /// Returns the end of the log.
     pub fn received(&self) -> Position {
         self.log[self.log.len() - 1].position
     }
 
+    /// Returns the end of the applied log.
     pub fn position(&self) -> Position {
         self.log[self.applied - 1].position
     }
@@ -191,14 +216,23 @@
                 None if !leads => (self.error(conversation, Fault::ReadOnly), Effect::Nothing),
                 None => self.commit(conversation, id, vec![arguments.clone()], now),
             },
-            Statement::Read { .. } => {
+            Statement::Read { arguments } => {
                 let read = Effect::Read { id: id.to_owned(), holds: self.applied };
-                (self.done(conversation), read)
+                let mut answer = self.done(conversation);
+                answer.rows = vec![self.item(arguments).to_owned()];
+                (answer, read)
             }
             _ => (self.done(conversation), Effect::Nothing),
         }
     }
 
+    /// Returns the data of an item.
+    fn item(&self, item: &str) -> &str {
+        let writes = self.log[..self.applied].iter().rev().flat_map(|entry| &entry.writes);
+        let mut data = writes.filter_map(|write| write.split_once(' '));
+        data.find(|(name, _)| *name == item).map_or("none", |(_, data)| data)
+    }
+
     fn commit(
         &mut self,
         conversation: &Conversation,
--- a/crates/router/tests/histories/callers.rs
+++ b/crates/router/tests/histories/callers.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use rand::{Rng, RngExt};
+use tamarackbend_replica::{Freshness, is_promise};
 use tamarackbend_router::Event;
 use tamarackbend_router::message::{Outcome, Request, SessionId, State, Statement};
 
-use crate::check::Freshness;
-use crate::world::{World, is_promise};
+use crate::world::World;
 
 /// Pause of a caller between two statements.
 const PAUSE_MS: std::ops::Range<u64> = 5..60;
--- a/crates/router/tests/histories/main.rs
+++ b/crates/router/tests/histories/main.rs
@@ -4,8 +4,6 @@
 //! `HISTORIES=n` runs more seeds, `HISTORY=seed` runs one.
 
 mod callers;
-mod check;
-mod endpoint;
 mod world;
 
 use std::collections::BTreeSet;
@@ -13,10 +11,10 @@
 
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use tamarackbend_replica::Freshness;
 use tamarackbend_router::configuration::Consistency;
 
 use callers::Caller;
-use check::Freshness;
 use world::{Party, START, World};
 
 /// Seeds in CI.
--- a/crates/router/tests/histories/world.rs
+++ b/crates/router/tests/histories/world.rs
@@ -8,19 +8,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tamarackbend_replica::{Check, Conversation, Endpoint};
 use tamarackbend_router::configuration::{Configuration, Consistency, Route, Service};
 use tamarackbend_router::directory::{Change, Entry};
 use tamarackbend_router::failover::{Promotion, Record, RecordName};
 use tamarackbend_router::membership::Peer;
-use tamarackbend_router::message::{
-    Answer, Command, ConnectionId, Fault, Request, Role, SessionId,
-};
+use tamarackbend_router::message::{Answer, Command, ConnectionId, Request, Role, SessionId};
 use tamarackbend_router::settings::Settings;
 use tamarackbend_router::{Action, Event, Fetch, Loss, Router, Write};
 
-use crate::check::Check;
-use crate::endpoint::{Conversation, Endpoint};
-
 pub const SERVICE: &str = "leases";
 /// Names of the endpoints; the first one leads at the start.
 pub const ENDPOINTS: [&str; 3] = ["endpoint-a", "endpoint-b", "endpoint-c"];
@@ -269,7 +265,7 @@
                     {
                         status.held = 0;
                     }
-                    self.check.ran(now, &effect, &state.log);
+                    self.check.ran(&effect, &state.log);
                     pipe.to_node.push_back((now + DELAY, Event::Answered(id, answer)));
                 }
             }
@@ -330,7 +326,7 @@
                     for (_, commands) in pipe.to_endpoint {
                         for command in commands {
                             let (_, effect) = state.run(&mut pipe.conversation, &command, now);
-                            self.check.ran(now, &effect, &state.log);
+                            self.check.ran(&effect, &state.log);
                         }
                     }
                 }
@@ -404,7 +400,7 @@
         if !self.is_linked(Party::Node(node), Party::Store) {
             return Promotion::Unknown;
         }
-        self.check.token(node, token);
+        self.check.token(&format!("node-{node}"), token);
         let Some(target) = ENDPOINTS.iter().position(|name| *name == endpoint) else {
             return Promotion::Refused;
         };
@@ -461,7 +457,7 @@
 
 fn entry(endpoint: &Endpoint, leaving: bool) -> Entry {
     Entry {
-        id: Rc::from(endpoint.name),
+        id: Rc::from(endpoint.name.as_str()),
         service: SERVICE.into(),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         failure_domain: "near".to_owned(),
@@ -474,16 +470,3 @@
 fn key(name: &RecordName) -> String {
     format!("{name:?}")
 }
-
-/// Returns whether an error says that nothing of the statement is kept.
-pub fn is_promise(fault: &Fault) -> bool {
-    matches!(
-        fault,
-        Fault::Busy
-            | Fault::Aborted
-            | Fault::Lagging
-            | Fault::ReadOnly
-            | Fault::Misrouted
-            | Fault::TooMany
-    )
-}
