Prefer holders that reach the store, and wait for the fleet before a role is played

At a first start every node opened connections before it knew the fleet. Ruled out: late watches (versions were in force 10 ms after their acknowledgement).

--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -34,6 +34,8 @@
     Node(cyper::Error),
     /// A8002: node refused with HTTP status {0}
     Refused(u16),
+    /// C4009: no line names the request {0}
+    NoRequest(String),
     /// {0}
     Demo(tamarackbend_load::Error),
 }
@@ -52,7 +54,11 @@
     /// Returns the exit status that tells the kind of failure.
     pub(crate) fn exit_status(&self) -> u8 {
         match &*self.code {
-            Code::Config(_) | Code::Faults(_) | Code::NoBase | Code::NoEndpoint(..) => EXIT_INVALID,
+            Code::Config(_)
+            | Code::Faults(_)
+            | Code::NoBase
+            | Code::NoEndpoint(..)
+            | Code::NoRequest(_) => EXIT_INVALID,
             Code::Conflict(..) => EXIT_CONFLICT,
             Code::Platform(error) if error.is_conflict() => EXIT_CONFLICT,
             _ => EXIT_FAILED,
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod demo;
 mod endpoint;
 mod error;
+mod explain;
 mod node;
 
 use std::net::SocketAddr;
@@ -50,6 +51,13 @@
         #[command(flatten)]
         node: NodeAddress,
     },
+    /// Print the lines that lead from a request's id to its cause.
+    Explain {
+        /// The request's id.
+        request: String,
+        /// Files with the log lines of all processes; standard input if none is given.
+        logs: Vec<PathBuf>,
+    },
     /// Run three nodes on stand-ins of the platform and of both deployments' endpoints.
     Demo {
         /// Time to run, such as 30s; until interrupted if absent.
@@ -195,6 +203,7 @@
         Command::Status { nodes, json } => node::status(&nodes.admin, &nodes.token, json).await,
         Command::State { node } => node::state(node.admin, &node.token).await,
         Command::Drain { node } => node::drain(node.admin, &node.token).await,
+        Command::Explain { request, logs } => explain::run(&request, &logs),
         Command::Demo { time } => demo::run(time),
     }
 }
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -2,8 +2,10 @@
 //!
 //! The node that opens a channel dials; the other one serves the channel like a caller.
 
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::BytesMut;
@@ -13,7 +15,9 @@
 use tamarackbend_net::{Reader, Writer, split};
 use tamarackbend_router::Event;
 use tamarackbend_router::message::{ConnectionId, Request, SessionId};
-use tamarackbend_wire::channel::{Close, Frame, Open, Opened, Ping, Pong, Refused, frame::Body};
+use tamarackbend_wire::channel::{
+    Close, Frame, Notice, Open, Opened, Ping, Pong, Refused, frame::Body,
+};
 use tamarackbend_wire::{Codec, Decoder, Encoder};
 use tracing::{info, warn};
 
@@ -80,7 +84,7 @@
         if matches!(frame.body, Some(Body::Opened(_) | Body::Refused(_) | Body::Reply(_))) {
             self.under_way = self.under_way.saturating_sub(1);
         }
-        self.channels.contains(&frame.channel)
+        self.channels.contains(&frame.channel) || matches!(frame.body, Some(Body::Notice(_)))
     }
 
     /// Asks for a sign of life if it is time; returns whether the link is lost.
@@ -111,6 +115,32 @@
     }
 }
 
+/// Links of the nodes whose callers this node serves.
+#[derive(Clone, Default)]
+pub(crate) struct Served {
+    links: Rc<RefCell<Vec<UnboundedSender<Frame>>>>,
+    store_is_away: Rc<Cell<bool>>,
+}
+
+impl Served {
+    /// Tells all of them whether this node reaches the store.
+    pub(crate) fn announce(&self, store_is_away: bool) {
+        self.store_is_away.set(store_is_away);
+        let notice = || frame(0, Body::Notice(Notice { store_is_away }));
+        // Links that have ended are forgotten.
+        self.links.borrow_mut().retain(|link| link.unbounded_send(notice()).is_ok());
+    }
+
+    fn add(&self, link: UnboundedSender<Frame>) {
+        if self.store_is_away.get() {
+            let notice = Notice { store_is_away: true };
+            // Fails only when the link has ended already.
+            let _ = link.unbounded_send(frame(0, Body::Notice(notice)));
+        }
+        self.links.borrow_mut().push(link);
+    }
+}
+
 async fn run(
     name: String,
     address: SocketAddr,
@@ -171,13 +201,19 @@
 /// # Errors
 ///
 /// Fails when the address cannot be listened on.
-pub(crate) async fn listen(address: SocketAddr, inbox: Inbox, sessions: Sessions) -> Result<()> {
+pub(crate) async fn listen(
+    address: SocketAddr,
+    inbox: Inbox,
+    sessions: Sessions,
+    served: Served,
+) -> Result<()> {
     let listener = TcpListener::bind(address).await?;
     let accepting = async move {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    compio::runtime::spawn(serve(stream, inbox.clone(), sessions.clone())).detach();
+                    let (inbox, sessions) = (inbox.clone(), sessions.clone());
+                    compio::runtime::spawn(serve(stream, inbox, sessions, served.clone())).detach();
                 }
                 Err(error) => {
                     warn!(%error, "link could not be accepted");
@@ -190,9 +226,10 @@
     Ok(())
 }
 
-async fn serve(stream: TcpStream, inbox: Inbox, sessions: Sessions) {
+async fn serve(stream: TcpStream, inbox: Inbox, sessions: Sessions, served: Served) {
     let (mut reader, writer) = split(stream);
     let (frames, queue) = unbounded();
+    served.add(frames.clone());
     let writing = compio::runtime::spawn(write(writer, queue));
     let mut open: HashMap<u64, SessionId> = HashMap::new();
     let mut codec = Codec::new();
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -19,7 +19,7 @@
 
 use crate::caller::{self, Output};
 use crate::channel::{decode_fault, decode_reply, encode_command, frame};
-use crate::link::{self, Link};
+use crate::link::{self, Link, Served};
 use crate::{Dialect, Result, clock, endpoint};
 
 /// Interval of ticks while something waits for time to pass.
@@ -117,6 +117,7 @@
     callers: HashMap<SessionId, Sink>,
     connections: HashMap<ConnectionId, Connection>,
     links: HashMap<String, Link>,
+    served: Served,
     next_generation: u64,
 }
 
@@ -138,6 +139,7 @@
             callers: HashMap::new(),
             connections: HashMap::new(),
             links: HashMap::new(),
+            served: Served::default(),
             next_generation: 1,
         }
     }
@@ -153,7 +155,8 @@
     ///
     /// Fails when the address cannot be listened on.
     pub async fn listen(&self, address: SocketAddr) -> Result<()> {
-        link::listen(address, self.inbox.clone(), self.sessions.clone()).await
+        let (inbox, sessions) = (self.inbox.clone(), self.sessions.clone());
+        link::listen(address, inbox, sessions, self.served.clone()).await
     }
 
     /// Serves callers of `listener` until the router ends the process.
@@ -262,6 +265,7 @@
                     link.close(id);
                 }
             }
+            Action::Announce { store_is_away } => self.served.announce(store_is_away),
             other => perform(other),
         }
     }
@@ -331,6 +335,7 @@
                 Event::Lost(id, Loss::Refused(fault))
             }
             Some(Body::Close(_)) => Event::Lost(id, Loss::Broken),
+            Some(Body::Notice(notice)) => Event::PeerNotice(peer.into(), notice.store_is_away),
             _ => return false,
         };
         if matches!(event, Event::Lost(..)) {
--- a/crates/node/src/link/mod.rs
+++ b/crates/node/src/link/mod.rs
@@ -117,7 +117,7 @@
 }
 
 async fn read_hello(reader: &mut Reader) -> Option<Hello> {
-    let mut codec = Codec::new();
+    let mut codec: Codec = Codec::new();
     loop {
         if let Some(frame) = codec.decode(&mut reader.input).ok()? {
             return match frame.body {
@@ -149,7 +149,7 @@
 }
 
 async fn read(mut reader: Reader, vm: &VmId, hub: &Sender) -> Option<()> {
-    let mut codec = Codec::new();
+    let mut codec: Codec = Codec::new();
     loop {
         while let Some(frame) = codec.decode(&mut reader.input).ok()? {
             metrics::counter!("tamarackbend_link_frames_received_total").increment(1);
@@ -166,7 +166,7 @@
     first: Option<Frame>,
     mut queue: mpsc::UnboundedReceiver<Frame>,
 ) -> Option<()> {
-    let mut codec = Codec::new();
+    let mut codec: Codec = Codec::new();
     let mut output = BytesMut::new();
     if let Some(first) = first {
         codec.encode(first, &mut output).ok()?;
--- a/crates/router/src/group.rs
+++ b/crates/router/src/group.rs
@@ -56,6 +56,8 @@
     pub pending: Vec<Pending>,
     /// Sessions whose statement or transaction waits for a connection.
     pub waiting: Vec<SessionId>,
+    /// Number of them when they were last looked at.
+    pub wanted: usize,
     /// Change of primary that this node takes part in.
     pub change: Option<Change>,
     /// When another change may begin.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -22,4 +22,4 @@
 pub mod session;
 pub mod settings;
 
-pub use router::{Action, Event, Fetch, Loss, Router, Write};
+pub use router::{Action, Event, Fetch, Following, Loss, Router, Write};
--- a/crates/router/src/router/callers.rs
+++ b/crates/router/src/router/callers.rs
@@ -88,6 +88,10 @@
             self.start_remote(id, &database);
             return;
         }
+        if self.awaits_role() {
+            self.starting.push((id, now));
+            return;
+        }
         if self.stopping.is_some_and(|since| now >= since + LEAVE_ROTATION) {
             self.reject(id, Fault::Busy, Code::Draining);
             return;
@@ -110,7 +114,9 @@
         for (id, since) in std::mem::take(&mut self.starting) {
             let Some(session) = self.sessions.get(&id) else { continue };
             let database = session.database.clone().unwrap_or_default();
-            if self.route(&database).is_some() {
+            if self.awaits_role() && self.now < since + START_TIMEOUT {
+                self.starting.push((id, since));
+            } else if self.holds != Some(false) && self.route(&database).is_some() {
                 self.welcome(id);
             } else if self.holds == Some(false) {
                 self.start_remote(id, &database);
--- a/crates/router/src/router/dispatch.rs
+++ b/crates/router/src/router/dispatch.rs
@@ -35,6 +35,7 @@
     fn dispatch(&mut self, service: &ServiceName) {
         let Some(group) = self.groups.get_mut(service) else { return };
         let mut waiting = std::mem::take(&mut group.waiting);
+        group.wanted = waiting.len();
         waiting.sort_by_key(|id| self.urgency(*id));
         let mut left = Vec::new();
         for id in waiting {
@@ -247,7 +248,12 @@
         pins: bool,
     ) -> Option<ConnectionId> {
         let group = self.groups.get(service)?;
-        for id in self.candidates(group, need, avoids) {
+        let mut candidates = self.candidates(group, need, avoids);
+        if group.is_remote {
+            // A channel to the best node is cheap to open; another would not do as well.
+            candidates.truncate(1);
+        }
+        for id in candidates {
             let connections =
                 self.connections.values().filter(|c| c.endpoint == id && c.service == *service);
             if pins {
@@ -350,13 +356,13 @@
         let now = self.now;
         let Some(group) = self.groups.get(service) else { return };
         let Some(endpoint) = group.endpoints.get(id) else { return };
-        if now < endpoint.connect_after {
+        if now < endpoint.connect_after || (self.awaits_role() && !group.is_remote) {
             return;
         }
         let mine = self.connections.values().filter(|c| c.endpoint == *id && c.service == *service);
         let opening = mine.clone().filter(|c| !c.ready).count();
         let enough = match group.is_remote {
-            true => opening >= group.waiting.len().max(1),
+            true => opening >= group.wanted.max(1),
             false => opening > 0 || mine.count() >= most,
         };
         if enough {
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -9,7 +9,7 @@
 mod promotion;
 mod record;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use tamarackbend_policy::code::Code;
 use tracing::info;
@@ -54,6 +54,8 @@
     StoreAway,
     /// The nodes of the fleet are known, or have changed.
     Peers(Vec<Peer>),
+    /// A node that serves this node's callers reaches the store, or does not.
+    PeerNotice(EndpointId, bool),
     /// A configuration was read.
     Configured(Configuration),
     /// A record was read.
@@ -99,6 +101,17 @@
     Failed,
 }
 
+/// Who needs what this node knows of the configuration and the directory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Following {
+    /// Nobody.
+    Nothing,
+    /// Its own callers.
+    ForItself,
+    /// Callers of other nodes too: they must hear soon when it does not reach the store.
+    ForOthers,
+}
+
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -145,8 +158,13 @@
     },
     /// Read the configuration now.
     Refresh,
-    /// Follow the configuration and the directory, or no longer.
-    Follow(bool),
+    /// Follow the configuration and the directory.
+    Follow(Following),
+    /// Tell the nodes whose callers this node serves whether it reaches the store.
+    Announce {
+        /// Whether it does not.
+        store_is_away: bool,
+    },
     /// Tell the balancer whether to send callers.
     Ready(bool),
     /// End the process.
@@ -166,6 +184,9 @@
     connections: BTreeMap<ConnectionId, Connection>,
     next_connection: ConnectionId,
     peers: Vec<Peer>,
+    away_peers: BTreeSet<EndpointId>,
+    started: Time,
+    following: Following,
     holders: usize,
     holds: Option<bool>,
     starting: Vec<(SessionId, Time)>,
@@ -191,6 +212,9 @@
             connections: BTreeMap::new(),
             next_connection: 1,
             peers: Vec::new(),
+            away_peers: BTreeSet::new(),
+            started: now,
+            following: Following::ForItself,
             holders: DIRECT_FLEET_MOST,
             holds: None,
             starting: Vec::new(),
@@ -218,12 +242,15 @@
             Event::Directory(change) => self.directory_changed(change),
             Event::StoreAway => {
                 self.store_away.get_or_insert(now);
+                self.actions.push(Action::Announce { store_is_away: true });
             }
             Event::StoreBack => {
                 self.store_away = None;
+                self.actions.push(Action::Announce { store_is_away: false });
                 self.directory.restart_grace(now);
             }
             Event::Peers(peers) => self.peers_changed(peers),
+            Event::PeerNotice(peer, is_away) => self.peer_notice(peer, is_away),
             Event::Configured(configuration) => self.configured(configuration),
             Event::Fetched(name, fetch) => self.fetched(&name, fetch),
             Event::Written(name, write) => self.written(&name, &write),
--- a/crates/router/src/router/peers.rs
+++ b/crates/router/src/router/peers.rs
@@ -9,7 +9,7 @@
 use tamarackbend_policy::code::Code;
 use tracing::info;
 
-use super::{Action, Router};
+use super::{Action, Following, Router};
 use crate::configuration::{Consistency, Route};
 use crate::directory::Entry;
 use crate::endpoint::Endpoint;
@@ -23,6 +23,8 @@
 
 /// Beginning of the names of groups of nodes; services have no such names.
 const REMOTE_PREFIX: &str = "\0peers/";
+/// Time for the fleet to become known, after which a node serves its callers itself.
+const ROLE_TIMEOUT: Time = Time::from_millis(2500);
 /// Time without sessions after which a group of nodes is forgotten.
 const REMOTE_IDLE: Time = Time::from_secs(30);
 
@@ -40,8 +42,14 @@
         if self.holds != Some(holds) || self.holders != count {
             info!(nodes = peers.len(), holders = count, holds, "fleet is known");
         }
-        if self.holds.unwrap_or(true) != holds {
-            self.actions.push(Action::Follow(holds));
+        let following = match (holds, count == peers.len()) {
+            (false, _) => Following::Nothing,
+            (true, true) => Following::ForItself,
+            (true, false) => Following::ForOthers,
+        };
+        if self.following != following {
+            self.following = following;
+            self.actions.push(Action::Follow(following));
         }
         self.peers = peers;
         self.holders = count;
@@ -53,6 +61,19 @@
         }
     }
 
+    /// Returns whether it is too early to act as if this node held connections.
+    pub(super) fn awaits_role(&self) -> bool {
+        self.holds.is_none() && self.now < self.started + ROLE_TIMEOUT
+    }
+
+    pub(super) fn peer_notice(&mut self, peer: EndpointId, is_away: bool) {
+        info!(%peer, is_away, "node told whether it reaches the store");
+        match is_away {
+            true => self.away_peers.insert(peer),
+            false => self.away_peers.remove(&peer),
+        };
+    }
+
     /// Brings the endpoints of a group of nodes in line with the fleet.
     fn update_remote(&mut self, service: &ServiceName, holders: &[Peer]) {
         let now = self.now;
@@ -147,14 +168,18 @@
     }
 
     /// Returns how a node ranks for the database of `group`; less is better.
-    pub(super) fn peer_rank(&self, group: &Group, id: &EndpointId) -> (u64, u64) {
-        let Some(endpoint) = group.endpoints.get(id) else { return (u64::MAX, 0) };
+    ///
+    /// What a node knows that does not reach the store may be old: it comes last.
+    pub(super) fn peer_rank(&self, group: &Group, id: &EndpointId) -> (bool, u64, u64) {
+        let Some(endpoint) = group.endpoints.get(id) else { return (true, u64::MAX, 0) };
         let Some(peer) = self.peers.iter().find(|peer| peer.name == *id) else {
-            return (u64::MAX, 0);
+            return (true, u64::MAX, 0);
         };
+        let is_away = self.away_peers.contains(id);
         let distance = self.distance(&endpoint.entry.failure_domain).as_millis() as u64;
         let database = database_of(&endpoint.entry.service).unwrap_or_default();
-        membership::rank(peer, database, distance)
+        let (distance, hash) = membership::rank(peer, database, distance);
+        (is_away, distance, hash)
     }
 
     /// Gives up channels that do not open, and forgets groups that nobody uses.
--- /dev/null
+++ b/crates/router/tests/peers.rs
@@ -0,0 +1,204 @@
+//! Sessions that other nodes serve.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use tamarackbend_router::membership::{DIRECT_FLEET_MOST, Peer, holders};
+use tamarackbend_router::message::{
+    Answer, Command, ConnectionId, Fault, Order, Outcome, Position, Request, State, Statement,
+};
+use tamarackbend_router::settings::Settings;
+use tamarackbend_router::{Action, Event, Following, Loss, Router};
+
+const START: Duration = Duration::from_secs(50);
+
+fn peer(name: &str, domain: &str, weight: u32) -> Peer {
+    Peer {
+        name: name.into(),
+        failure_domain: domain.to_owned(),
+        address: ([127, 0, 0, 1], 7440).into(),
+        weight,
+        run: 1,
+    }
+}
+
+/// A large fleet: in each of two domains, two strong nodes and many weak ones.
+fn fleet() -> Vec<Peer> {
+    let mut peers = Vec::new();
+    for domain in ["a", "b"] {
+        peers.extend((0..2).map(|n| peer(&format!("strong-{domain}-{n}"), domain, 500)));
+        peers.extend((0..20).map(|n| peer(&format!("weak-{domain}-{n}"), domain, 84)));
+    }
+    peers
+}
+
+fn router(node: &str) -> Router {
+    let settings = Settings {
+        node: node.to_owned(),
+        failure_domain: "a".to_owned(),
+        regions: HashMap::from([
+            ("a".to_owned(), "x".to_owned()),
+            ("b".to_owned(), "y".to_owned()),
+        ]),
+        leave_within: Duration::from_secs(7),
+        stop_within: Duration::from_secs(6),
+    };
+    Router::new(settings, 1, START)
+}
+
+fn entry() -> Router {
+    let mut router = router("weak-a-3");
+    let actions = router.step(START, Event::Peers(fleet()));
+    assert!(actions.contains(&Action::Follow(Following::Nothing)));
+    router
+}
+
+/// Opens a session and returns the channel that it waits for, and the node of the channel.
+fn start(router: &mut Router, session: u64, now: Duration) -> (ConnectionId, String) {
+    router.step(now, Event::Opened(session));
+    let request = Request::Start { database: "db".to_owned() };
+    let actions = router.step(now, Event::Request(session, request));
+    let opened = actions.into_iter().find_map(|action| match action {
+        Action::Open { connection, entry, .. } => Some((connection, entry.id.to_string())),
+        _ => None,
+    });
+    opened.expect("a channel is opened")
+}
+
+fn statement(router: &mut Router, now: Duration, id: &str, statement: Statement) -> Vec<Action> {
+    let request = Request::Statement { id: id.to_owned(), statement, floor: None };
+    router.step(now, Event::Request(1, request))
+}
+
+fn sent(actions: &[Action]) -> Vec<(ConnectionId, Vec<Command>)> {
+    let sent = actions.iter().filter_map(|action| match action {
+        Action::Send(connection, commands) => Some((*connection, commands.clone())),
+        _ => None,
+    });
+    sent.collect()
+}
+
+fn done(position: Option<Position>) -> Answer {
+    let outcome = Outcome::Complete(Some("proof".to_owned()));
+    Answer { rows: Vec::new(), outcome, state: State::Idle, position, status: None }
+}
+
+fn read() -> Statement {
+    Statement::Read { arguments: "item".to_owned() }
+}
+
+#[test]
+fn small_fleets_hold_connections_everywhere() {
+    let all: Vec<Peer> =
+        (0..DIRECT_FLEET_MOST).map(|n| peer(&format!("n{n:02}"), "a", 170)).collect();
+    assert_eq!(holders(&all).len(), DIRECT_FLEET_MOST);
+}
+
+#[test]
+fn strong_nodes_of_each_domain_hold_connections_of_a_large_fleet() {
+    let fleet = fleet();
+    let names: Vec<&str> = holders(&fleet).iter().map(|peer| &*peer.name).collect();
+    assert_eq!(names, ["strong-a-0", "strong-a-1", "strong-b-0", "strong-b-1"]);
+}
+
+#[test]
+fn equal_nodes_of_a_large_fleet_hold_by_name() {
+    let fleet: Vec<Peer> = (0..40).map(|n| peer(&format!("n{n:02}"), "a", 170)).collect();
+    let names: Vec<&str> = holders(&fleet).iter().map(|peer| &*peer.name).collect();
+    assert_eq!(names, ["n00", "n01", "n02"]);
+}
+
+#[test]
+fn session_is_served_by_a_near_node() {
+    let mut router = entry();
+    let (channel, node) = start(&mut router, 1, START);
+    assert!(node.starts_with("strong-a"), "{node}");
+    let actions = router.step(START, Event::Connected(channel, None));
+    assert!(actions.contains(&Action::Welcome(1)));
+    let actions = statement(&mut router, START, "5c", read());
+    let expected = Command::new(Order::Statement(read())).with_id("5c");
+    assert_eq!(sent(&actions), [(channel, vec![expected])]);
+    let actions = router.step(START, Event::Answered(channel, done(None)));
+    assert!(matches!(&actions[..], [Action::Reply(1, _)]), "{actions:?}");
+}
+
+/// Holders that were cut off from the store refused databases that had just been added.
+#[test]
+fn node_that_does_not_reach_the_store_comes_last() {
+    let mut router = entry();
+    let (_, first) = start(&mut router, 1, START);
+    router.step(START, Event::PeerNotice(first.as_str().into(), true));
+    let (_, second) = start(&mut router, 2, START);
+    assert!(second.starts_with("strong-a") && second != first, "{second}");
+    router.step(START, Event::PeerNotice(second.as_str().into(), true));
+    let (_, third) = start(&mut router, 3, START);
+    assert!(third.starts_with("strong-b"), "{third}");
+    router.step(START, Event::PeerNotice(first.as_str().into(), false));
+    assert_eq!(start(&mut router, 4, START).1, first);
+}
+
+#[test]
+fn reads_of_a_lost_node_go_to_another_with_values_and_floor() {
+    let mut router = entry();
+    let (channel, first) = start(&mut router, 1, START);
+    router.step(START, Event::Connected(channel, None));
+    let set = Statement::Set { name: "tz".to_owned(), value: "utc".to_owned() };
+    statement(&mut router, START, "1", set.clone());
+    statement(&mut router, START, "2", Statement::Write { arguments: "item x".to_owned() });
+    let position = Position { term: 3, number: 9 };
+    // The value is set before the write: two answers.
+    router.step(START, Event::Answered(channel, done(None)));
+    router.step(START, Event::Answered(channel, done(Some(position))));
+    statement(&mut router, START, "3", read());
+    let actions = router.step(START, Event::Lost(channel, Loss::Broken));
+    let opened = actions.iter().find_map(|action| match action {
+        Action::Open { connection, entry, .. } => Some((*connection, entry.id.to_string())),
+        _ => None,
+    });
+    let (other, second) = opened.expect("a channel to another node is opened");
+    assert_ne!(first, second);
+    let actions = router.step(START, Event::Connected(other, None));
+    let expected = vec![
+        Command::new(Order::Statement(set)),
+        Command::new(Order::Statement(read())).with_id("3").with_after(Some(position)),
+    ];
+    assert_eq!(sent(&actions), [(other, expected)]);
+}
+
+#[test]
+fn write_at_a_lost_node_is_in_doubt_at_once() {
+    let mut router = entry();
+    let (channel, _) = start(&mut router, 1, START);
+    router.step(START, Event::Connected(channel, None));
+    statement(&mut router, START, "1", Statement::Write { arguments: "item x".to_owned() });
+    let actions = router.step(START, Event::Lost(channel, Loss::Broken));
+    let fault = actions.iter().find_map(|action| match action {
+        Action::Reply(1, answer) => answer.outcome.fault().cloned(),
+        _ => None,
+    });
+    assert_eq!(fault, Some(Fault::InDoubt));
+}
+
+#[test]
+fn unknown_database_is_rejected_by_the_serving_node_s_word() {
+    let mut router = entry();
+    let (channel, _) = start(&mut router, 1, START);
+    let refused = Event::Lost(channel, Loss::Refused(Fault::NoDatabase));
+    let actions = router.step(START, refused);
+    let rejected = actions.iter().any(|action| {
+        matches!(action, Action::Reject(1, answer)
+            if answer.outcome.fault() == Some(&Fault::NoDatabase))
+    });
+    assert!(rejected, "{actions:?}");
+}
+
+#[test]
+fn sessions_wait_until_the_fleet_is_known() {
+    let mut router = router("weak-a-3");
+    router.step(START, Event::Opened(1));
+    let request = Request::Start { database: "db".to_owned() };
+    assert_eq!(router.step(START, Event::Request(1, request)), []);
+    router.step(START + Duration::from_millis(100), Event::Peers(fleet()));
+    let actions = router.step(START + Duration::from_millis(115), Event::Tick);
+    assert!(actions.iter().any(|action| matches!(action, Action::Open { .. })), "{actions:?}");
+}
