Count no endpoint as gone because one node no longer lists it

Ruled out: closed terms that replicas forget (their status showed the held term throughout). A node that reaches none of the endpoints that vouch for the primary refuses at once. Test: the history with vanished entries fails before.

--- a/crates/router/src/group.rs
+++ b/crates/router/src/group.rs
@@ -44,6 +44,10 @@
     pub connections: u32,
     /// Endpoints.
     pub endpoints: BTreeMap<EndpointId, Endpoint>,
+    /// Whether there ever was more than one endpoint, one of which may be promoted.
+    pub is_replicated: bool,
+    /// Since when the primary's term is closed: it is being replaced.
+    pub closed: Option<Time>,
     /// The primary, if it is known.
     pub lead: Option<Lead>,
     /// Highest term seen.
@@ -104,6 +108,7 @@
             Role::Primary => {
                 self.lead = Some(Lead { endpoint: id.clone(), term: status.term });
                 self.leaderless = None;
+                self.closed = None;
                 self.evidence.invalidate();
                 Learned::Lead
             }
@@ -113,9 +118,11 @@
                 }
                 let Some(lead) = &self.lead else { return Learned::Closed };
                 if status.held > lead.term {
-                    self.evidence.invalidate();
+                    // What was witnessed before still holds: the promotion waits for it.
+                    self.closed.get_or_insert(now);
                     return Learned::Closed;
                 }
+                self.closed = None;
                 self.evidence.witness(asked);
                 Learned::Witnessed
             }
@@ -125,6 +132,7 @@
     /// Forgets the primary.
     pub fn depose(&mut self, now: Time) {
         self.lead = None;
+        self.closed = None;
         self.leaderless.get_or_insert(now);
         self.evidence.invalidate();
     }
--- a/crates/router/src/router/answers.rs
+++ b/crates/router/src/router/answers.rs
@@ -179,6 +179,7 @@
         };
         group.pending.push(pending);
         match leads {
+            true if group.closed.is_some() => {}
             true => self.seek_evidence(&from.service),
             false => self.confirm_pending(&from.service),
         }
@@ -187,8 +188,9 @@
     /// Returns whether the primary of `service` led at `received`.
     pub(super) fn is_covered(&self, service: &ServiceName, received: Time) -> bool {
         self.groups.get(service).is_some_and(|group| {
-            // Where there is no other endpoint, none can be promoted.
-            group.lead.is_some() && (group.endpoints.len() == 1 || group.evidence.covers(received))
+            // Where there never was another endpoint, none can be promoted. Others that are no
+            // longer listed may live: this node may not see the whole directory.
+            group.lead.is_some() && (!group.is_replicated || group.evidence.covers(received))
         })
     }
 
--- a/crates/router/src/router/dispatch.rs
+++ b/crates/router/src/router/dispatch.rs
@@ -15,6 +15,8 @@
 
 /// Added to the cost of the primary for reads that replicas can serve as well: writes need it.
 const PRIMARY_PENALTY: Time = Time::from_millis(10);
+/// Silence of all endpoints that vouch for the primary after which others serve better.
+const ISOLATED_AFTER: Time = Time::from_millis(300);
 /// Age at which a response time says little: the endpoint is worth another try.
 const RESPONSE_AGE: Time = Time::from_millis(1000);
 
@@ -156,6 +158,10 @@
         };
         operation.need = need;
         let Some(connection) = chosen else {
+            if self.is_hopeless(service, need) {
+                self.give_up(id);
+                return Placed::Done;
+            }
             self.open_connections(service, need, &avoid);
             return Placed::Not;
         };
@@ -293,6 +299,11 @@
             Need::Primary | Need::ProvenPrimary | Need::Transaction => {
                 let Some(lead) = &group.lead else { return Vec::new() };
                 let primary = group.endpoints.get(&lead.endpoint);
+                // What cannot be confirmed is not sent.
+                let lost = group.closed.is_some() || self.is_isolated(group);
+                if lost && !group.evidence.covers(now) && need != Need::Transaction {
+                    return Vec::new();
+                }
                 match primary {
                     Some(primary) if usable(&lead.endpoint, primary) => vec![lead.endpoint.clone()],
                     _ => Vec::new(),
@@ -315,6 +326,27 @@
         }
     }
 
+    /// Returns whether this node cannot serve `need` while others may: the caller is better off
+    /// with one of them now.
+    fn is_hopeless(&self, service: &ServiceName, need: Need) -> bool {
+        let Some(group) = self.groups.get(service) else { return false };
+        !group.is_remote
+            && !matches!(need, Need::Position(_))
+            && self.is_isolated(group)
+            && !group.evidence.covers(self.now)
+    }
+
+    /// Returns whether this node has reached none of the endpoints that could vouch for the
+    /// primary for some time.
+    pub(super) fn is_isolated(&self, group: &Group) -> bool {
+        let since = self.now.saturating_sub(ISOLATED_AFTER);
+        let mut others = group.endpoints.iter().filter(|(id, _)| !group.leads(id)).peekable();
+        let silent = |endpoint: &Endpoint| endpoint.suspect.is_some_and(|at| at <= since);
+        group.is_replicated
+            && others.peek().is_some()
+            && others.all(|(_, endpoint)| silent(endpoint))
+    }
+
     fn cost(&self, endpoint: &Endpoint, leads: bool) -> Time {
         let distance = self.distance(&endpoint.entry.failure_domain);
         let recent = endpoint.applied.is_some_and(|(at, _)| self.now < at + RESPONSE_AGE);
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -355,6 +355,7 @@
                 group.endpoints.insert(id.clone(), Endpoint::new(entry, distance, now));
             }
         }
+        group.is_replicated |= group.endpoints.len() > 1;
         if group.lead.is_none() {
             group.leaderless.get_or_insert(now);
         }
--- a/crates/router/src/router/probes.rs
+++ b/crates/router/src/router/probes.rs
@@ -25,8 +25,10 @@
 
 impl Router {
     pub(super) fn tick(&mut self) {
-        for effect in self.directory.expire(self.now) {
-            self.apply_effect(effect);
+        if self.store_away.is_none() {
+            for effect in self.directory.expire(self.now) {
+                self.apply_effect(effect);
+            }
         }
         self.check_sessions();
         self.check_peers();
@@ -162,7 +164,7 @@
     fn sample(&mut self, service: &ServiceName) {
         let now = self.now;
         let Some(group) = self.groups.get(service) else { return };
-        if group.lead.is_none() {
+        if group.lead.is_none() || group.closed.is_some() {
             if now >= group.surveyed + SURVEY_INTERVAL {
                 self.survey(service);
             }
--- a/crates/router/tests/histories/main.rs
+++ b/crates/router/tests/histories/main.rs
@@ -250,3 +250,21 @@
     let history = generate(216, false);
     assert_eq!(history.world.check.broken, BTreeSet::new());
 }
+
+/// A node that no longer saw the other endpoints in the directory took the primary for the only one.
+#[test]
+fn endpoints_that_vanished_for_one_node_may_still_be_promoted() {
+    let mut history = History::new(7, Consistency::Latest);
+    history.run_for(Duration::from_millis(1000));
+    history.world.hide(0, 1);
+    history.world.hide(0, 2);
+    history.run_for(Duration::from_secs(3));
+    for node in 1..NODES {
+        history.world.cut(Party::Node(node), Party::Endpoint(0));
+    }
+    history.apply(Fault::CutEndpoints(0, 1));
+    history.apply(Fault::CutEndpoints(0, 2));
+    history.run_for(Duration::from_secs(6));
+    assert_eq!(history.world.check.broken, BTreeSet::new());
+    assert_eq!(history.world.promotions, 1);
+}
--- a/crates/router/tests/histories/world.rs
+++ b/crates/router/tests/histories/world.rs
@@ -113,6 +113,12 @@
         self.cuts.clear();
     }
 
+    /// Makes an endpoint's entry vanish for one node.
+    pub fn hide(&mut self, node: usize, endpoint: usize) {
+        let absent = Event::Directory(Change::Absent(Rc::from(ENDPOINTS[endpoint])));
+        self.nodes[node].from_store.push_back((self.now, absent));
+    }
+
     /// Stops a node's process for a while.
     pub fn pause(&mut self, node: usize, time: Duration) {
         self.nodes[node].paused_until = self.now + time;
