Place waiting work by changed group, and let endpoints that turn work away rest

Ruled out: late readiness (nodes are ready 50 ms after their start) and the store. The first two seconds are still bound by connections that endpoints count for three seconds after their node is gone.

--- a/crates/router/src/endpoint.rs
+++ b/crates/router/src/endpoint.rs
@@ -5,7 +5,8 @@
 
 use crate::connection::Purpose;
 use crate::directory::Entry;
-use crate::message::{Command, Position, Status, Time};
+use crate::message::{Command, ConnectionId, Position, Status, Time};
+use crate::settings::{BUSY_PAUSE, BUSY_PAUSE_MOST};
 
 /// Weight of a new response time in the average.
 const RESPONSE_WEIGHT: f64 = 0.1;
@@ -15,6 +16,8 @@
 pub struct Endpoint {
     /// Its entry in the directory.
     pub entry: Entry,
+    /// Connections to it, established or not.
+    pub connections: Vec<ConnectionId>,
     /// Last status, and when it was asked for.
     pub status: Option<(Time, Status)>,
     /// End of its applied log, and when it was heard.
@@ -35,6 +38,8 @@
     pub status_asked: Option<Time>,
     /// Whether a probe is on its way.
     pub probe_asked: Option<Time>,
+    /// Until when it gets no work because it turned some away, and for how long that was.
+    pub busy: Option<(Time, Duration)>,
     /// Reads below these positions were refused until the time.
     pub lagging: Option<(Position, Time)>,
 }
@@ -46,6 +51,7 @@
         let leaving_since = entry.leaving.then_some(now);
         Endpoint {
             entry,
+            connections: Vec::new(),
             status: None,
             applied: None,
             suspect: None,
@@ -56,6 +62,7 @@
             response: distance,
             status_asked: None,
             probe_asked: None,
+            busy: None,
             lagging: None,
         }
     }
@@ -66,6 +73,21 @@
         self.suspect = None;
     }
 
+    /// Notes that it turned work away: each time in a row it gets a longer pause.
+    pub fn turn_away(&mut self, now: Time) {
+        let pause = match self.busy {
+            Some((until, _)) if now < until => return,
+            Some((_, pause)) => (pause * 2).min(BUSY_PAUSE_MOST),
+            None => BUSY_PAUSE,
+        };
+        self.busy = Some((now + pause, pause));
+    }
+
+    /// Returns whether it has a pause.
+    pub fn rests(&self, now: Time) -> bool {
+        self.busy.is_some_and(|(until, _)| now < until)
+    }
+
     /// Notes how long a read took.
     pub fn respond(&mut self, took: Duration) {
         let average = self.response.as_secs_f64();
--- a/crates/router/src/router/answers.rs
+++ b/crates/router/src/router/answers.rs
@@ -5,7 +5,7 @@
 
 use super::record::fault_label;
 use super::{Action, Loss, Router};
-use crate::connection::{Awaited, Purpose};
+use crate::connection::{Awaited, Connection, Purpose};
 use crate::evidence::Sample;
 use crate::group::{Learned, Pending};
 use crate::message::{
@@ -27,6 +27,7 @@
         connection.ready = true;
         connection.heard = now;
         let (service, endpoint_id) = (connection.service.clone(), connection.endpoint.clone());
+        self.dirty.insert(service.clone());
         let Some(endpoint) = self.endpoint_mut(&service, &endpoint_id) else { return };
         endpoint.hear(now);
         if let Some(position) = position {
@@ -57,6 +58,7 @@
         let state = answer.state;
         let from = From { connection: id, service, endpoint: endpoint_id, awaited };
         self.take(&from, answer);
+        self.dirty.insert(from.service.clone());
         let Some(connection) = self.connections.get(&id) else { return };
         if connection.is_free() {
             if state != State::Idle {
@@ -128,6 +130,11 @@
             return;
         }
         let (need, access) = (operation.need, operation.access);
+        if let Some(endpoint) = self.endpoint_mut(&from.service, &from.endpoint) {
+            endpoint.busy = None;
+        }
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let Some(operation) = session.current.as_mut() else { return };
         let commits = operation.statement == Statement::Commit;
         if need == Need::ProvenPrimary {
             operation.answer = Some(answer);
@@ -355,6 +362,11 @@
                 self.confirm_pending(&from.service);
                 self.survey(&from.service);
             }
+            Fault::Busy => {
+                if let Some(endpoint) = self.endpoint_mut(&from.service, &from.endpoint) {
+                    endpoint.turn_away(now);
+                }
+            }
             Fault::Lagging => {
                 let Some(endpoint) = self.endpoint_mut(&from.service, &from.endpoint) else {
                     return;
@@ -474,9 +486,19 @@
         self.drop_connection(id);
     }
 
+    /// Forgets a connection.
+    pub(super) fn forget_connection(&mut self, id: ConnectionId) -> Option<Connection> {
+        let connection = self.connections.remove(&id)?;
+        self.dirty.insert(connection.service.clone());
+        if let Some(endpoint) = self.endpoint_mut(&connection.service, &connection.endpoint) {
+            endpoint.connections.retain(|known| *known != id);
+        }
+        Some(connection)
+    }
+
     /// Forgets a connection and decides on what was on it.
     pub(super) fn drop_connection(&mut self, id: ConnectionId) {
-        let Some(connection) = self.connections.remove(&id) else { return };
+        let Some(connection) = self.forget_connection(id) else { return };
         let now = self.now;
         if let Some(endpoint) = self.endpoint_mut(&connection.service, &connection.endpoint) {
             endpoint.status_asked = None;
--- a/crates/router/src/router/callers.rs
+++ b/crates/router/src/router/callers.rs
@@ -283,6 +283,7 @@
     /// Queues a session whose statement or transaction needs a connection.
     pub(super) fn wait(&mut self, service: &ServiceName, id: SessionId) {
         let now = self.now;
+        self.dirty.insert(service.clone());
         let group = self.groups.entry(service.clone()).or_default();
         group.used = now;
         if !group.waiting.contains(&id) {
@@ -401,7 +402,7 @@
             self.send(connection, vec![(rollback, Purpose::Cleanup)]);
         } else {
             self.actions.push(Action::Disconnect(connection));
-            self.connections.remove(&connection);
+            self.forget_connection(connection);
         }
     }
 
--- a/crates/router/src/router/dispatch.rs
+++ b/crates/router/src/router/dispatch.rs
@@ -15,6 +15,8 @@
 
 /// Added to the cost of the primary for reads that replicas can serve as well: writes need it.
 const PRIMARY_PENALTY: Time = Time::from_millis(10);
+/// Placements without a connection after which a group's other work waits for the next change.
+const FAILURES_MOST: usize = 12;
 /// Silence of all endpoints that vouch for the primary after which others serve better.
 const ISOLATED_AFTER: Time = Time::from_millis(300);
 /// Age at which a response time says little: the endpoint is worth another try.
@@ -23,25 +25,25 @@
 impl Router {
     /// Places what waits, the most urgent first.
     pub(super) fn dispatch_all(&mut self) {
-        let services: Vec<ServiceName> = self
-            .groups
-            .iter()
-            .filter(|(_, group)| !group.waiting.is_empty())
-            .map(|(name, _)| name.clone())
-            .collect();
-        for service in services {
+        for service in std::mem::take(&mut self.dirty) {
             self.dispatch(&service);
         }
     }
 
     fn dispatch(&mut self, service: &ServiceName) {
         let Some(group) = self.groups.get_mut(service) else { return };
+        if group.waiting.is_empty() {
+            return;
+        }
         let mut waiting = std::mem::take(&mut group.waiting);
         group.wanted = waiting.len();
         waiting.sort_by_key(|id| self.urgency(*id));
         let mut left = Vec::new();
+        let mut failures = 0;
         for id in waiting {
-            if self.place(service, id) == Placed::Not {
+            // After several found no connection, the rest would find none either.
+            if failures >= FAILURES_MOST || self.place(service, id) == Placed::Not {
+                failures += 1;
                 left.push(id);
             }
         }
@@ -260,8 +262,8 @@
             candidates.truncate(1);
         }
         for id in candidates {
-            let connections =
-                self.connections.values().filter(|c| c.endpoint == id && c.service == *service);
+            let Some(endpoint) = group.endpoints.get(&id) else { continue };
+            let connections = self.connections_to(endpoint);
             if pins {
                 let pinned = connections.clone().filter(|c| c.session.is_some()).count();
                 // One connection stays for short statements.
@@ -286,7 +288,10 @@
     ) -> Vec<EndpointId> {
         let now = self.now;
         let usable = |id: &EndpointId, endpoint: &Endpoint| {
-            endpoint.suspect.is_none() && !avoids(id) && !self.has_left(endpoint)
+            endpoint.suspect.is_none()
+                && !avoids(id)
+                && !self.has_left(endpoint)
+                && !endpoint.rests(now)
         };
         if group.is_remote {
             let ids = group.endpoints.iter().filter(|(id, endpoint)| usable(id, endpoint));
@@ -391,11 +396,10 @@
         if now < endpoint.connect_after || (self.awaits_role() && !group.is_remote) {
             return;
         }
-        let mine = self.connections.values().filter(|c| c.endpoint == *id && c.service == *service);
-        let opening = mine.clone().filter(|c| !c.ready).count();
+        let opening = self.connections_to(endpoint).filter(|c| !c.ready).count();
         let enough = match group.is_remote {
             true => opening >= group.wanted.max(1),
-            false => opening > 0 || mine.count() >= most,
+            false => opening > 0 || endpoint.connections.len() >= most,
         };
         if enough {
             return;
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -191,6 +191,8 @@
     holds: Option<bool>,
     starting: Vec<(SessionId, Time)>,
     resumed: Vec<SessionId>,
+    /// Groups whose waiting work may be placed now.
+    dirty: BTreeSet<ServiceName>,
     refreshed: Option<Time>,
     holding: Holding,
     store_away: Option<Time>,
@@ -219,6 +221,7 @@
             holds: None,
             starting: Vec::new(),
             resumed: Vec::new(),
+            dirty: BTreeSet::new(),
             refreshed: None,
             holding: Holding::new(run),
             store_away: None,
@@ -383,8 +386,16 @@
     }
 
     fn connections_of(&self, service: &ServiceName, id: &EndpointId) -> Vec<ConnectionId> {
-        let mine = self.connections.values();
-        mine.filter(|c| c.endpoint == *id && c.service == *service).map(|c| c.id).collect()
+        let endpoint = self.groups.get(service).and_then(|group| group.endpoints.get(id));
+        endpoint.map(|endpoint| endpoint.connections.clone()).unwrap_or_default()
+    }
+
+    /// Returns the connections of an endpoint.
+    fn connections_to<'a>(
+        &'a self,
+        endpoint: &'a Endpoint,
+    ) -> impl Iterator<Item = &'a Connection> + Clone {
+        endpoint.connections.iter().filter_map(|id| self.connections.get(id))
     }
 
     /// Sends commands and remembers why.
@@ -408,6 +419,9 @@
         self.next_connection += 1;
         let state = Connection::new(connection, service.clone(), id.clone(), self.now);
         self.connections.insert(connection, state);
+        if let Some(endpoint) = self.endpoint_mut(service, id) {
+            endpoint.connections.push(connection);
+        }
         let action = match database_of(service) {
             Some(database) => Action::Open { connection, entry, database: database.to_owned() },
             None => Action::Connect { connection, entry },
--- a/crates/router/src/router/peers.rs
+++ b/crates/router/src/router/peers.rs
@@ -17,7 +17,7 @@
 use crate::membership::{self, Peer};
 use crate::message::{ConnectionId, EndpointId, Fault, Role, ServiceName, SessionId, Time};
 use crate::session::Need;
-use crate::settings::{CONNECT_TIMEOUT, REMOTE_TIMEOUT, START_TIMEOUT};
+use crate::settings::{CHANNEL_TIMEOUT, REMOTE_TIMEOUT, START_TIMEOUT};
 
 use super::dispatch::Placed;
 
@@ -188,7 +188,7 @@
         let late: Vec<ConnectionId> = self
             .connections
             .values()
-            .filter(|c| !c.ready && self.is_remote(&c.service) && now >= c.opened + CONNECT_TIMEOUT)
+            .filter(|c| !c.ready && self.is_remote(&c.service) && now >= c.opened + CHANNEL_TIMEOUT)
             .map(|c| c.id)
             .collect();
         for id in late {
--- a/crates/router/src/router/probes.rs
+++ b/crates/router/src/router/probes.rs
@@ -43,6 +43,7 @@
             self.sample(service);
         }
         self.check_primaries();
+        self.dirty.extend(self.groups.keys().cloned());
         self.check_ready();
         self.check_stop();
     }
@@ -88,10 +89,12 @@
 
     fn check_opening(&mut self, service: &ServiceName, id: &EndpointId) {
         let now = self.now;
+        let Some(endpoint) = self.groups.get(service).and_then(|g| g.endpoints.get(id)) else {
+            return;
+        };
         let late: Vec<ConnectionId> = self
-            .connections
-            .values()
-            .filter(|c| c.endpoint == *id && !c.ready && now >= c.opened + CONNECT_TIMEOUT)
+            .connections_to(endpoint)
+            .filter(|c| !c.ready && now >= c.opened + CONNECT_TIMEOUT)
             .map(|c| c.id)
             .collect();
         for connection in late {
@@ -106,10 +109,12 @@
 
     fn check_silence(&mut self, service: &ServiceName, id: &EndpointId) {
         let now = self.now;
-        let waits = self.connections.values().any(|c| {
-            c.endpoint == *id
-                && c.awaited.front().is_some_and(|front| now >= front.sent + PROBE_AFTER)
-        });
+        let Some(endpoint) = self.groups.get(service).and_then(|g| g.endpoints.get(id)) else {
+            return;
+        };
+        let waits = self
+            .connections_to(endpoint)
+            .any(|c| c.awaited.front().is_some_and(|front| now >= front.sent + PROBE_AFTER));
         let Some(endpoint) = self.endpoint_mut(service, id) else { return };
         if waits && now >= endpoint.heard + PROBE_AFTER && endpoint.probe_asked.is_none() {
             self.probe(service, id);
@@ -124,13 +129,11 @@
         let Some(endpoint) = self.endpoint_mut(service, id) else { return };
         let dead = endpoint.suspect.is_some_and(|since| now >= since + SILENCE_MOST);
         if dead {
-            let idle: Vec<ConnectionId> = self
-                .connections
-                .values()
-                .filter(|c| c.endpoint == *id && c.ready && now >= c.heard + SILENCE_MOST)
-                .map(|c| c.id)
-                .collect();
-            for connection in idle {
+            let idle = self.connections_of(service, id).into_iter().filter(|connection| {
+                let state = self.connections.get(connection);
+                state.is_some_and(|c| c.ready && now >= c.heard + SILENCE_MOST)
+            });
+            for connection in idle.collect::<Vec<ConnectionId>>() {
                 if !self.carries_write(connection) {
                     self.disconnect(connection, "the endpoint is silent");
                 }
@@ -260,8 +263,10 @@
         if endpoint.commands.is_empty() {
             return;
         }
-        let free = self.connections.values().find(|c| c.endpoint == *id && c.is_free());
-        let Some(connection) = free.map(|c| c.id) else {
+        let free = self.connections_of(service, id).into_iter().find(|connection| {
+            self.connections.get(connection).is_some_and(|state| state.is_free())
+        });
+        let Some(connection) = free else {
             let most = self.groups.get(service).map_or(1, |group| self.connections_most(group) + 1);
             self.open_connection(service, id, most);
             return;
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -28,18 +28,23 @@
 pub const PROBE_TIMEOUT: Duration = Duration::from_millis(350);
 /// Unanswered time of a statement after which its endpoint is probed.
 pub const PROBE_AFTER: Duration = Duration::from_millis(200);
-/// Longest wait for a connection to be established.
-pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Longest wait for a connection to an endpoint to be established: it waits for a slot, which
+/// takes long after a restart of all nodes.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Longest wait for a channel to another node to be opened.
+pub const CHANNEL_TIMEOUT: Duration = Duration::from_millis(600);
 /// Pause between attempts to connect to an endpoint that fails.
 pub const RECONNECT_PAUSE: Duration = Duration::from_millis(250);
-/// Pause before a statement that was turned away is offered to the same endpoint again.
-pub const BUSY_PAUSE: Duration = Duration::from_millis(20);
+/// Pause of an endpoint that turned work away; doubled each time in a row.
+pub const BUSY_PAUSE: Duration = Duration::from_millis(15);
+/// Longest pause of an endpoint that turned work away.
+pub const BUSY_PAUSE_MOST: Duration = Duration::from_millis(120);
 /// Pause before a replica that lagged is asked for newer data again.
 pub const LAGGING_PAUSE: Duration = Duration::from_millis(60);
 /// Least connections that a node may open to one endpoint.
 pub const CONNECTIONS_LEAST: usize = 2;
 /// Most connections of a node to one endpoint; endpoints run fewer statements than this at once.
-pub const CONNECTIONS_MOST: usize = 12;
+pub const CONNECTIONS_MOST: usize = 6;
 /// Share of an endpoint's connections that all nodes together open, so that restarts find room.
 pub const CONNECTIONS_SHARE: f64 = 0.8;
 /// Limit for a statement that another node serves, which has limits of its own.
