--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,7 +13,7 @@
 mod node;
 
 pub use dialect::{Dialect, Piece};
-pub use node::{Events, Node};
+pub use node::{Dumps, Events, Node};
 
 /// Result of this crate.
 pub type Result<T> = std::io::Result<T>;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -10,6 +10,7 @@
 use compio::runtime::JoinHandle;
 use compio::time::timeout;
 use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
+use futures_channel::oneshot;
 use futures_util::StreamExt;
 use tamarackbend_router::directory::Entry;
 use tamarackbend_router::message::{Command, ConnectionId, Fault, SessionId};
@@ -46,6 +47,9 @@
     }
 }
 
+/// Requests for the node's state; each is answered within a tick.
+pub type Dumps = UnboundedSender<oneshot::Sender<serde_json::Value>>;
+
 /// Message to the task that owns the router.
 #[derive(Debug)]
 pub(crate) enum Message {
@@ -118,6 +122,8 @@
     connections: HashMap<ConnectionId, Connection>,
     links: HashMap<String, Link>,
     served: Served,
+    dumps: UnboundedReceiver<oneshot::Sender<serde_json::Value>>,
+    dumper: Dumps,
     next_generation: u64,
 }
 
@@ -130,6 +136,7 @@
     /// Returns a node that speaks `dialect`.
     pub fn new(router: Router, dialect: Dialect) -> Node {
         let (sender, messages) = unbounded();
+        let (dumper, dumps) = unbounded();
         Node {
             router,
             dialect,
@@ -140,6 +147,8 @@
             connections: HashMap::new(),
             links: HashMap::new(),
             served: Served::default(),
+            dumps,
+            dumper,
             next_generation: 1,
         }
     }
@@ -149,6 +158,11 @@
         Events { inbox: self.inbox.clone() }
     }
 
+    /// Returns a sender of requests for the node's state, which other threads may use too.
+    pub fn dumps(&self) -> Dumps {
+        self.dumper.clone()
+    }
+
     /// Serves the channels of other nodes at `address`.
     ///
     /// # Errors
@@ -184,6 +198,7 @@
             if now >= ticked + interval {
                 self.check_links(now, now > ticked + PAUSE_GAP, &mut perform);
                 ticked = now;
+                self.answer_dumps();
                 if self.step(Event::Tick, &mut perform) {
                     break;
                 }
@@ -192,6 +207,13 @@
         self.end().await;
     }
 
+    fn answer_dumps(&mut self) {
+        while let Ok(reply) = self.dumps.try_recv() {
+            // Fails only when the asker has gone.
+            let _ = reply.send(self.router.dump());
+        }
+    }
+
     async fn end(mut self) {
         self.callers.clear();
         compio::time::sleep(LAST_WRITES).await;
--- a/crates/objects/src/http.rs
+++ b/crates/objects/src/http.rs
@@ -93,6 +93,13 @@
             Ok(result) => result,
             Err(_) => Err(Error::new(Code::Unavailable("no answer in time".to_owned()))),
         };
+        let outcome = match &result {
+            Ok(reply) if reply.status < 400 => "done",
+            Ok(reply) if reply.status < 500 => "refused",
+            Ok(_) => "failed",
+            Err(_) => "no answer",
+        };
+        metrics::counter!("http_calls_total", "outcome" => outcome).increment(1);
         if result.is_err() {
             *self.client.borrow_mut() = new_client();
         }
--- a/crates/policy/src/code.rs
+++ b/crates/policy/src/code.rs
@@ -65,6 +65,8 @@
     Duplicate = 3005,
     /// read ran but its answer was too old to use
     AnswerUnusable = 3006,
+    /// read was sent and no answer came in time
+    AnswerTimeout = 3007,
 }
 
 impl Code {
@@ -93,6 +95,7 @@
         Code::OwnerLost,
         Code::Duplicate,
         Code::AnswerUnusable,
+        Code::AnswerTimeout,
     ];
 
     /// Returns the number.
@@ -131,7 +134,8 @@
             Code::TransactionLost => "40001",
             Code::Canceled => "57014",
             Code::ConfirmTimeout | Code::ConnectionLost | Code::Deposed => "08007",
-            Code::OwnerLost | Code::Duplicate | Code::AnswerUnusable => "08007",
+            Code::OwnerLost | Code::Duplicate => "08007",
+            Code::AnswerUnusable | Code::AnswerTimeout => "08007",
         }
     }
 }
--- a/crates/router/src/router/callers.rs
+++ b/crates/router/src/router/callers.rs
@@ -334,7 +334,7 @@
             Stage::Sent { .. } if in_transaction && !commits => {
                 (Fault::Aborted, Code::TransactionLost)
             }
-            Stage::Sent { .. } if operation.is_read() => (Fault::Timeout, Code::QueueTimeout),
+            Stage::Sent { .. } if operation.is_read() => (Fault::Timeout, Code::AnswerTimeout),
             Stage::Sent { .. } => (Fault::InDoubt, Code::ConfirmTimeout),
             Stage::Confirming if operation.is_read() || (commits && !wrote) => {
                 (Fault::Busy, Code::NoPrimary)
--- /dev/null
+++ b/crates/router/src/router/dump.rs
@@ -0,0 +1,80 @@
+//! The state of a node, for operators.
+
+use serde_json::{Value, json};
+
+use super::Router;
+use super::peers::database_of;
+use crate::endpoint::Endpoint;
+use crate::group::Group;
+use crate::message::Time;
+
+impl Router {
+    /// Returns what the node knows and does, as JSON; ages are in milliseconds.
+    pub fn dump(&self) -> Value {
+        let groups: Vec<Value> =
+            self.groups.iter().map(|(name, group)| self.dump_group(name, group)).collect();
+        json!({
+            "node": self.settings.node,
+            "ready": self.ready,
+            "stopping_ms": self.age(self.stopping),
+            "configuration": self.configuration.as_ref().map(|known| known.version),
+            "store_away_ms": self.age(self.store_away),
+            "holds_connections": self.holds,
+            "nodes": self.peers.len(),
+            "holders": self.holders,
+            "holders_without_store": self.away_peers.iter().map(|p| &**p).collect::<Vec<_>>(),
+            "lease_token": self.holding.token(self.now),
+            "sessions": self.sessions.len(),
+            "connections": self.connections.len(),
+            "groups": groups,
+        })
+    }
+
+    fn dump_group(&self, name: &crate::message::ServiceName, group: &Group) -> Value {
+        let endpoints: Vec<Value> =
+            group.endpoints.values().map(|endpoint| self.dump_endpoint(endpoint)).collect();
+        let change = group.change.as_ref().map(|change| {
+            json!({
+                "reason": format!("{:?}", change.reason),
+                "phase": format!("{:?}", change.phase),
+                "since_ms": self.age(Some(change.started)),
+            })
+        });
+        json!({
+            "service": if group.is_remote { None } else { Some(&**name) },
+            "database_of_other_nodes": database_of(name),
+            "primary": group.lead.as_ref().map(|lead| &*lead.endpoint),
+            "term": group.term,
+            "without_primary_ms": self.age(group.leaderless),
+            "term_closed_ms": self.age(group.closed),
+            "evidence_ms": self.age(group.evidence.witnessed()),
+            "position_ms": self.age(group.evidence.sampled()),
+            "waiting": group.waiting.len(),
+            "confirming": group.pending.len(),
+            "change": change,
+            "endpoints": endpoints,
+        })
+    }
+
+    fn dump_endpoint(&self, endpoint: &Endpoint) -> Value {
+        let connections = self.connections_to(endpoint);
+        json!({
+            "id": &*endpoint.entry.id,
+            "address": endpoint.entry.address.to_string(),
+            "failure_domain": endpoint.entry.failure_domain,
+            "leaving_ms": self.age(endpoint.leaving_since),
+            "silent_ms": self.age(endpoint.suspect),
+            "applied": endpoint.applied.map(|(_, position)| position.to_string()),
+            "received": endpoint.status.map(|(_, status)| status.received.to_string()),
+            "held": endpoint.status.map(|(_, status)| status.held),
+            "status_ms": self.age(endpoint.status.map(|(asked, _)| asked)),
+            "response_ms": endpoint.response.as_millis() as u64,
+            "connections": endpoint.connections.len(),
+            "in_use": connections.filter(|connection| !connection.is_free()).count(),
+        })
+    }
+
+    fn age(&self, since: Option<Time>) -> Option<u64> {
+        since.map(|since| self.now.saturating_sub(since).as_millis() as u64)
+    }
+}
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod callers;
 mod dispatch;
+mod dump;
 mod lease;
 mod peers;
 mod probes;
