--- /dev/null
+++ b/crates/router/tests/load.rs
@@ -0,0 +1,187 @@
+//! What one node does with more work than its endpoints take.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use tamarackbend_router::configuration::{Configuration, Consistency, Route, Service};
+use tamarackbend_router::directory::{Change, Entry};
+use tamarackbend_router::membership::Peer;
+use tamarackbend_router::message::{
+    Answer, Command, ConnectionId, Fault, Order, Outcome, Position, Request, Role, State,
+    Statement, Status,
+};
+use tamarackbend_router::settings::Settings;
+use tamarackbend_router::{Action, Event, Router};
+
+const START: Duration = Duration::from_secs(50);
+const POSITION: Position = Position { term: 1, number: 4 };
+
+struct Node {
+    router: Router,
+    now: Duration,
+    /// Commands that the endpoint has not answered, in order of arrival.
+    sent: Vec<(ConnectionId, Command)>,
+    replies: Vec<(u64, Answer)>,
+    offered: usize,
+}
+
+impl Node {
+    /// Returns a node before one primary and one replica, both in its failure domain.
+    fn new() -> Node {
+        let settings = Settings {
+            node: "node".to_owned(),
+            failure_domain: "a".to_owned(),
+            regions: HashMap::from([("a".to_owned(), "x".to_owned())]),
+            leave_within: Duration::from_secs(7),
+            stop_within: Duration::from_secs(6),
+        };
+        let route = Route {
+            service: "s".into(),
+            consistency: Consistency::Latest,
+            timeout: Duration::from_millis(800),
+            objective: Duration::from_millis(300),
+            priority: 1,
+        };
+        let configuration = Configuration {
+            version: 1,
+            routes: HashMap::from([("db".to_owned(), route)]),
+            services: vec![Service { name: "s".into(), connections: 76 }],
+            transaction_idle: Duration::from_secs(3),
+        };
+        let entry = |id: &str, role| Entry {
+            id: id.into(),
+            service: "s".into(),
+            address: ([127, 0, 0, 1], 1).into(),
+            failure_domain: "a".to_owned(),
+            leaving: false,
+            role,
+            incarnation: 1,
+        };
+        let peer = Peer {
+            name: "node".into(),
+            failure_domain: "a".to_owned(),
+            address: ([127, 0, 0, 1], 2).into(),
+            weight: 170,
+            run: 1,
+        };
+        let entries = vec![entry("primary", Role::Primary), entry("replica", Role::Replica)];
+        let mut node = Node {
+            router: Router::new(settings, 1, START),
+            now: START,
+            sent: Vec::new(),
+            replies: Vec::new(),
+            offered: 0,
+        };
+        node.give(Event::Peers(vec![peer]));
+        node.give(Event::Configured(configuration));
+        node.give(Event::Directory(Change::List(entries)));
+        for _ in 0..8 {
+            node.pass(15);
+            node.answer(false);
+        }
+        node
+    }
+
+    fn give(&mut self, event: Event) {
+        for action in self.router.step(self.now, event) {
+            match action {
+                Action::Connect { connection, .. } => {
+                    self.give(Event::Connected(connection, Some(POSITION)));
+                }
+                Action::Send(connection, commands) => {
+                    self.offered += commands.iter().filter(|c| c.id.is_some()).count();
+                    self.sent.extend(commands.into_iter().map(|command| (connection, command)));
+                }
+                Action::Reply(session, answer) => self.replies.push((session, answer)),
+                _ => {}
+            }
+        }
+    }
+
+    fn pass(&mut self, ms: u64) {
+        self.now += Duration::from_millis(ms);
+        self.give(Event::Tick);
+    }
+
+    /// Answers all commands; statements of callers are turned away if the endpoint is `full`.
+    fn answer(&mut self, full: bool) {
+        for (connection, command) in std::mem::take(&mut self.sent) {
+            let outcome = match full && command.id.is_some() {
+                true => Outcome::Error { fault: Fault::Busy, text: String::new() },
+                false => Outcome::Complete(Some("proof".to_owned())),
+            };
+            let begins = Order::Statement(Statement::Begin { read_only: false });
+            let state = if command.order == begins { State::Transaction } else { State::Idle };
+            // The first connection is the primary's, in order of the endpoints' names.
+            let role = if connection == 1 { Role::Primary } else { Role::Replica };
+            let status = (command.order == Order::Status).then_some(Status {
+                role,
+                term: 1,
+                received: POSITION,
+                held: 0,
+                lag: Duration::ZERO,
+                busy: 0,
+                connections: 4,
+            });
+            let position = Some(POSITION);
+            let answer = Answer { rows: Vec::new(), outcome, state, position, status };
+            self.give(Event::Answered(connection, answer));
+        }
+    }
+
+    fn write(&mut self, session: u64) {
+        self.give(Event::Opened(session));
+        self.give(Event::Request(session, Request::Start { database: "db".to_owned() }));
+        let statement = Statement::Write { arguments: "item x".to_owned() };
+        let id = format!("w{session}");
+        self.give(Event::Request(session, Request::Statement { id, statement, floor: None }));
+    }
+}
+
+#[test]
+fn work_is_served_as_connections_become_free() {
+    let mut node = Node::new();
+    (1..=30).for_each(|session| node.write(session));
+    for _ in 0..40 {
+        node.answer(false);
+        node.pass(5);
+    }
+    assert_eq!(node.replies.len(), 30);
+    let served = node.replies.iter().filter(|(_, answer)| answer.outcome.fault().is_none());
+    assert_eq!(served.count(), 30);
+}
+
+/// After a restart of all nodes, endpoints turned away most of what they were offered.
+#[test]
+fn endpoint_that_turns_work_away_is_offered_less_and_less() {
+    let mut node = Node::new();
+    (1..=100).for_each(|session| node.write(session));
+    for _ in 0..200 {
+        node.answer(true);
+        node.pass(4);
+    }
+    // Six connections, and pauses of 15, 30, 60 and then 120 ms within the limit of 800 ms.
+    assert!(node.offered <= 6 * 12, "{} offers", node.offered);
+    assert_eq!(node.replies.len(), 100);
+    let refused = node.replies.iter().all(|(_, answer)| match &answer.outcome {
+        Outcome::Error { fault: Fault::Busy, text } => text.contains("retry after"),
+        _ => false,
+    });
+    assert!(refused, "every write is refused with a hint of when to come back");
+}
+
+#[test]
+fn pause_ends_with_the_first_answer() {
+    let mut node = Node::new();
+    (1..=20).for_each(|session| node.write(session));
+    for _ in 0..30 {
+        node.answer(true);
+        node.pass(4);
+    }
+    for _ in 0..60 {
+        node.answer(false);
+        node.pass(5);
+    }
+    let served = node.replies.iter().filter(|(_, answer)| answer.outcome.fault().is_none());
+    assert_eq!(served.count(), 20);
+}
