--- a/crates/router/src/router/callers.rs
+++ b/crates/router/src/router/callers.rs
@@ -360,9 +360,10 @@
         let reachable = group
             .and_then(|group| group.primary())
             .is_some_and(|primary| primary.suspect.is_none());
+        let isolated = group.is_some_and(|group| self.is_isolated(group));
         match operation.need {
             Need::Position(_) => Code::NoFreshEndpoint,
-            _ if !reachable => Code::NoPrimary,
+            _ if !reachable || isolated => Code::NoPrimary,
             _ => Code::QueueTimeout,
         }
     }
--- /dev/null
+++ b/crates/router/src/router/losses.rs
@@ -0,0 +1,142 @@
+//! Connections that are lost or refused, and what happens to the work on them.
+
+use tamarackbend_policy::code::Code;
+use tracing::debug;
+
+use super::{Loss, Router};
+use crate::connection::{Connection, Purpose};
+use crate::message::{ConnectionId, EndpointId, Fault, ServiceName, SessionId, Statement, Time};
+use crate::session::{Phase, Stage};
+use crate::settings::RECONNECT_PAUSE;
+
+/// Pause before an endpoint that has too many connections is asked for another.
+const TOO_MANY_PAUSE: Time = Time::from_millis(500);
+
+impl Router {
+    pub(super) fn lost(&mut self, id: ConnectionId, loss: &Loss) {
+        let now = self.now;
+        let Some(connection) = self.connections.get(&id) else { return };
+        let (service, endpoint_id) = (connection.service.clone(), connection.endpoint.clone());
+        let ready = connection.ready;
+        debug!(connection = id, endpoint = %endpoint_id, ready, ?loss, "connection is lost");
+        if *loss == Loss::Refused(Fault::NoDatabase) {
+            self.drop_connection(id);
+            self.reject_starts(&service);
+            return;
+        }
+        if let Some(endpoint) = self.endpoint_mut(&service, &endpoint_id)
+            && !ready
+        {
+            match loss {
+                Loss::Refused(Fault::TooMany) => endpoint.connect_after = now + TOO_MANY_PAUSE,
+                Loss::Refused(_) | Loss::Broken => {
+                    endpoint.connect_after = now + RECONNECT_PAUSE;
+                    endpoint.suspect.get_or_insert(now);
+                }
+            }
+        }
+        self.drop_connection(id);
+    }
+
+    /// Forgets a connection.
+    pub(super) fn forget_connection(&mut self, id: ConnectionId) -> Option<Connection> {
+        let connection = self.connections.remove(&id)?;
+        self.dirty.insert(connection.service.clone());
+        if let Some(endpoint) = self.endpoint_mut(&connection.service, &connection.endpoint) {
+            endpoint.connections.retain(|known| *known != id);
+        }
+        Some(connection)
+    }
+
+    /// Forgets a connection and decides on what was on it.
+    pub(super) fn drop_connection(&mut self, id: ConnectionId) {
+        let Some(connection) = self.forget_connection(id) else { return };
+        let now = self.now;
+        if let Some(endpoint) = self.endpoint_mut(&connection.service, &connection.endpoint) {
+            endpoint.status_asked = None;
+            endpoint.probe_asked = None;
+        }
+        if let Some(session) = connection.session {
+            self.transaction_lost(session, id);
+        }
+        for awaited in connection.awaited {
+            let Purpose::Statement(session, serial) = awaited.purpose else { continue };
+            self.statement_lost(session, serial, &connection.endpoint, now);
+        }
+    }
+
+    fn transaction_lost(&mut self, id: SessionId, connection: ConnectionId) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let Some(open) = &mut session.transaction else { return };
+        let service = open.route.service.clone();
+        if open.phase == Phase::Opening(connection) {
+            open.phase = Phase::Waiting;
+            self.wait(&service, id);
+            return;
+        }
+        if open.phase != Phase::Open(connection) {
+            return;
+        }
+        let wrote = open.wrote;
+        let Some(operation) = &session.current else {
+            open.phase = Phase::Failed { told: false };
+            return;
+        };
+        let sent = !matches!(operation.stage, Stage::Waiting);
+        if operation.statement == Statement::Commit {
+            session.transaction = None;
+            match sent && wrote {
+                true => self.refuse(id, Fault::InDoubt, Code::ConnectionLost, None),
+                false => self.refuse(id, Fault::Aborted, Code::TransactionLost, None),
+            }
+        } else {
+            open.phase = Phase::Failed { told: true };
+            self.refuse(id, Fault::Aborted, Code::TransactionLost, None);
+        }
+    }
+
+    fn statement_lost(&mut self, id: SessionId, serial: u64, endpoint: &EndpointId, now: Time) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        if session.transaction.is_some() {
+            return;
+        }
+        let Some(operation) = session.current.as_mut().filter(|o| o.serial == serial) else {
+            return;
+        };
+        if operation.is_read() {
+            operation.stage = Stage::Waiting;
+            operation.answer = None;
+            operation.avoid.push((endpoint.clone(), now + RECONNECT_PAUSE));
+            let operation = operation.clone();
+            self.record_retry(&operation, endpoint, "connection lost");
+            self.wait(&operation.route.service, id);
+        } else {
+            self.refuse(id, Fault::InDoubt, Code::ConnectionLost, None);
+        }
+    }
+
+    /// Sends the reads that an endpoint keeps silent about to others.
+    pub(super) fn move_reads(&mut self, service: &ServiceName, endpoint: &EndpointId) {
+        let now = self.now;
+        let connections = self.connections_of(service, endpoint);
+        let mut moved = Vec::new();
+        for (id, session) in &mut self.sessions {
+            if session.transaction.is_some() {
+                continue;
+            }
+            let Some(operation) = session.current.as_mut() else { continue };
+            let Stage::Sent { connection, .. } = operation.stage else { continue };
+            if operation.is_read() && connections.contains(&connection) {
+                session.serial += 1;
+                operation.serial = session.serial;
+                operation.stage = Stage::Waiting;
+                operation.answer = None;
+                operation.avoid.push((endpoint.clone(), now + RECONNECT_PAUSE));
+                moved.push(*id);
+            }
+        }
+        for id in moved {
+            self.wait(service, id);
+        }
+    }
+}
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -5,10 +5,12 @@
 mod dispatch;
 mod dump;
 mod lease;
+mod losses;
 mod peers;
 mod probes;
 mod promotion;
 mod record;
+mod stopping;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
--- a/crates/router/src/router/probes.rs
+++ b/crates/router/src/router/probes.rs
@@ -5,11 +5,10 @@
 use super::{Action, Router};
 use crate::connection::Purpose;
 use crate::message::{
-    Command, ConnectionId, EndpointId, Order, ServiceName, SessionId, State, Statement, Time,
+    Command, ConnectionId, EndpointId, Order, ServiceName, SessionId, Statement, Time,
 };
-use crate::session::Phase;
 use crate::settings::{
-    CONNECT_TIMEOUT, EVIDENCE_AGE, LEAVE_ROTATION, POSITION_INTERVAL, PROBE_AFTER, PROBE_TIMEOUT,
+    CONNECT_TIMEOUT, EVIDENCE_AGE, POSITION_INTERVAL, PROBE_AFTER, PROBE_TIMEOUT,
 };
 
 /// Time without requests after which a group is no longer sampled.
@@ -20,8 +19,6 @@
 const SURVEY_INTERVAL: Time = Time::from_millis(120);
 /// Silence of a suspected endpoint after which its connections without writes are closed.
 const SILENCE_MOST: Time = Time::from_millis(1500);
-/// Part of the time to stop that is left for the process to end.
-const STOP_RESERVE: Time = Time::from_millis(700);
 
 impl Router {
     pub(super) fn tick(&mut self) {
@@ -283,61 +280,4 @@
         }
         self.send(connection, commands);
     }
-
-    /// Lets callers go while the process is stopping.
-    fn check_stop(&mut self) {
-        let now = self.now;
-        let Some(since) = self.stopping else { return };
-        let within = self.settings.stop_within;
-        if now >= since + within.saturating_sub(STOP_RESERVE) {
-            let late: Vec<SessionId> = self
-                .sessions
-                .iter()
-                .filter(|(_, s)| s.current.is_some())
-                .map(|(id, _)| *id)
-                .collect();
-            for id in late {
-                self.give_up(id);
-            }
-            info!(sessions = self.sessions.len(), "node ends");
-            self.actions.push(Action::Exit);
-            return;
-        }
-        if now < since + LEAVE_ROTATION {
-            return;
-        }
-        if now >= since + within / 2 {
-            self.abort_resting();
-        }
-        let idle: Vec<SessionId> = self
-            .sessions
-            .iter()
-            .filter(|(_, session)| session.current.is_none() && session.transaction.is_none())
-            .map(|(id, _)| *id)
-            .collect();
-        for id in idle {
-            self.leave(id);
-            self.actions.push(Action::Close(id));
-        }
-        if self.sessions.is_empty() {
-            info!("node ends, its callers have gone");
-            self.actions.push(Action::Exit);
-        }
-    }
-
-    fn abort_resting(&mut self) {
-        let resting: Vec<SessionId> = self
-            .sessions
-            .iter()
-            .filter(|(_, s)| s.current.is_none() && s.state() == State::Transaction)
-            .map(|(id, _)| *id)
-            .collect();
-        for id in resting {
-            self.abort_transaction(id, false);
-        }
-        debug_assert!(self.sessions.values().all(|session| {
-            session.current.is_some()
-                || !matches!(session.transaction.as_ref().map(|t| t.phase), Some(Phase::Open(_)))
-        }));
-    }
 }
--- /dev/null
+++ b/crates/router/src/router/stopping.rs
@@ -0,0 +1,72 @@
+//! The end of the process: callers leave first, and nothing in progress is cut.
+
+use tracing::info;
+
+use super::{Action, Router};
+use crate::message::{SessionId, State, Time};
+use crate::settings::LEAVE_ROTATION;
+
+/// Part of the time to stop that is left for the process to end.
+const STOP_RESERVE: Time = Time::from_millis(700);
+
+impl Router {
+    pub(super) fn stop(&mut self) {
+        info!(sessions = self.sessions.len(), "node is stopping");
+        self.stopping.get_or_insert(self.now);
+        self.ready = false;
+        self.actions.push(Action::Ready(false));
+    }
+
+    /// Lets callers go while the process is stopping.
+    pub(super) fn check_stop(&mut self) {
+        let now = self.now;
+        let Some(since) = self.stopping else { return };
+        let within = self.settings.stop_within;
+        if now >= since + within.saturating_sub(STOP_RESERVE) {
+            let late: Vec<SessionId> = self
+                .sessions
+                .iter()
+                .filter(|(_, s)| s.current.is_some())
+                .map(|(id, _)| *id)
+                .collect();
+            for id in late {
+                self.give_up(id);
+            }
+            info!(sessions = self.sessions.len(), "node ends");
+            self.actions.push(Action::Exit);
+            return;
+        }
+        if now < since + LEAVE_ROTATION {
+            return;
+        }
+        if now >= since + within / 2 {
+            self.abort_resting();
+        }
+        let idle: Vec<SessionId> = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| session.current.is_none() && session.transaction.is_none())
+            .map(|(id, _)| *id)
+            .collect();
+        for id in idle {
+            self.leave(id);
+            self.actions.push(Action::Close(id));
+        }
+        if self.sessions.is_empty() {
+            info!("node ends, its callers have gone");
+            self.actions.push(Action::Exit);
+        }
+    }
+
+    fn abort_resting(&mut self) {
+        let resting: Vec<SessionId> = self
+            .sessions
+            .iter()
+            .filter(|(_, s)| s.current.is_none() && s.state() == State::Transaction)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in resting {
+            self.abort_transaction(id, false);
+        }
+    }
+}
