Keep nodes that hold no connections from opening any

At a first start nothing is followed before the fleet is known; a node without the role opens nothing. Test: node_that_holds_nothing_opens_no_connections fails before.

--- a/crates/router/src/router/dispatch.rs
+++ b/crates/router/src/router/dispatch.rs
@@ -393,7 +393,8 @@
         let now = self.now;
         let Some(group) = self.groups.get(service) else { return };
         let Some(endpoint) = group.endpoints.get(id) else { return };
-        if now < endpoint.connect_after || (self.awaits_role() && !group.is_remote) {
+        let may_hold = group.is_remote || (!self.awaits_role() && self.holds != Some(false));
+        if now < endpoint.connect_after || !may_hold {
             return;
         }
         let opening = self.connections_to(endpoint).filter(|c| !c.ready).count();
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -206,6 +206,10 @@
 impl Router {
     /// Returns the router of a node that has just started; `run` tells its runs apart.
     pub fn new(settings: Settings, run: u64, now: Time) -> Router {
+        let following = match settings.is_first_start {
+            true => Following::Nothing,
+            false => Following::ForItself,
+        };
         Router {
             settings,
             now,
@@ -219,7 +223,7 @@
             peers: Vec::new(),
             away_peers: BTreeSet::new(),
             started: now,
-            following: Following::ForItself,
+            following,
             holders: DIRECT_FLEET_MOST,
             holds: None,
             starting: Vec::new(),
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -9,6 +9,8 @@
     pub node: String,
     /// Failure domain of this node.
     pub failure_domain: String,
+    /// Whether the fleet starts for the first time, so that nothing is followed yet.
+    pub is_first_start: bool,
     /// Region of each failure domain.
     pub regions: std::collections::HashMap<String, String>,
     /// Time within which an endpoint that is leaving must get no more work.
--- a/crates/router/tests/histories/world.rs
+++ b/crates/router/tests/histories/world.rs
@@ -427,6 +427,7 @@
     let settings = Settings {
         node: format!("node-{index}"),
         failure_domain: "near".to_owned(),
+        is_first_start: false,
         regions: [("near".to_owned(), "region".to_owned())].into(),
         leave_within: Duration::from_secs(7),
         stop_within: Duration::from_secs(6),
--- a/crates/router/tests/load.rs
+++ b/crates/router/tests/load.rs
@@ -31,6 +31,7 @@
         let settings = Settings {
             node: "node".to_owned(),
             failure_domain: "a".to_owned(),
+            is_first_start: false,
             regions: HashMap::from([("a".to_owned(), "x".to_owned())]),
             leave_within: Duration::from_secs(7),
             stop_within: Duration::from_secs(6),
--- a/crates/router/tests/peers.rs
+++ b/crates/router/tests/peers.rs
@@ -36,6 +36,7 @@
     let settings = Settings {
         node: node.to_owned(),
         failure_domain: "a".to_owned(),
+        is_first_start: false,
         regions: HashMap::from([
             ("a".to_owned(), "x".to_owned()),
             ("b".to_owned(), "y".to_owned()),
@@ -202,3 +203,26 @@
     let actions = router.step(START + Duration::from_millis(115), Event::Tick);
     assert!(actions.iter().any(|action| matches!(action, Action::Open { .. })), "{actions:?}");
 }
+
+/// At the first start of a large fleet every node connected to every endpoint.
+#[test]
+fn node_that_holds_nothing_opens_no_connections() {
+    let mut router = router("weak-a-3");
+    router.step(START, Event::Peers(fleet()));
+    let entry = tamarackbend_router::directory::Entry {
+        id: "endpoint".into(),
+        service: "s".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        failure_domain: "a".to_owned(),
+        leaving: false,
+        role: tamarackbend_router::message::Role::Primary,
+        incarnation: 1,
+    };
+    let listed = tamarackbend_router::directory::Change::List(vec![entry]);
+    let mut actions = router.step(START, Event::Directory(listed));
+    for step in 0..200 {
+        actions.extend(router.step(START + Duration::from_millis(step * 15), Event::Tick));
+    }
+    let connects = actions.iter().any(|action| matches!(action, Action::Connect { .. }));
+    assert!(!connects, "{actions:?}");
+}
