Close every endpoint that could vouch for a primary nobody sees

Cause: all nodes had restarted while the primary was down, took a replica that was out of reach for it, closed the other one only, and left the first to vouch for the primary when that came back. Without a known primary all endpoints but one are closed now; endpoints that are not listed count until the directory gives them up.

--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -104,11 +104,6 @@
         }
     }
 
-    /// Returns whether an entry is there now.
-    pub fn is_listed(&self, id: &EndpointId) -> bool {
-        self.entries.get(id).is_some_and(|known| known.vanished.is_none())
-    }
-
     fn put(&mut self, entry: Entry) -> Option<Effect> {
         let known = Known { entry: entry.clone(), vanished: None };
         let before = self.entries.insert(entry.id.clone(), known);
--- a/crates/router/src/failover.rs
+++ b/crates/router/src/failover.rs
@@ -45,6 +45,10 @@
 const WAIT_MARGIN: Duration = Duration::from_millis(60);
 /// Time for the promoted endpoint to lead.
 const SETTLE_TIMEOUT: Duration = Duration::from_millis(4000);
+/// Endpoints that a group usually has: one that is gone may come back.
+const GROUP_USUAL: usize = 3;
+/// Time for a whole change up to the promotion: several looks for votes and at the endpoints.
+const CHANGE_TIMEOUT: Duration = Duration::from_millis(10_000);
 /// Pause between two attempts to promote.
 const PROMOTE_INTERVAL: Duration = Duration::from_millis(120);
 
@@ -179,8 +183,10 @@
 pub struct Change {
     /// Why.
     pub reason: Reason,
-    /// Primary to be replaced, if one was known.
+    /// Primary to be replaced, if one is known or presumed.
     pub old: Option<Lead>,
+    /// Whether nobody saw the old primary lead: it may be a replica that is out of reach.
+    pub is_presumed: bool,
     /// Highest term when the change began.
     pub term: Term,
     /// Part.
@@ -192,6 +198,8 @@
     ordered: BTreeMap<EndpointId, Time>,
     promoted: Option<Time>,
     accepted: bool,
+    /// Whether the old primary had given up when the term was closed.
+    was_demoted: bool,
 }
 
 /// Endpoints as a change sees them.
@@ -202,8 +210,8 @@
     pub lead: Option<&'a Lead>,
     /// Highest term that any endpoint has shown.
     pub term: Term,
-    /// Whether the directory lists an endpoint.
-    pub is_listed: &'a dyn Fn(&EndpointId) -> bool,
+    /// Most endpoints that the group has had at once.
+    pub size: usize,
     /// Whether this node holds the lease.
     pub holds_lease: bool,
 }
@@ -218,6 +226,7 @@
         Change {
             reason,
             old,
+            is_presumed: false,
             term,
             phase,
             started: now,
@@ -225,9 +234,16 @@
             ordered: BTreeMap::new(),
             promoted: None,
             accepted: false,
+            was_demoted: false,
         }
     }
 
+    /// Returns the change with an old primary that nobody saw lead.
+    pub fn with_presumed(mut self) -> Change {
+        self.is_presumed = true;
+        self
+    }
+
     /// Returns whether the change needs the lease now.
     pub fn needs_lease(&self) -> bool {
         self.phase != Phase::Voting
@@ -266,6 +282,13 @@
         if self.needs_lease() && self.phase != Phase::Claiming && !view.holds_lease {
             return vec![Step::GiveUp("lease is lost")];
         }
+        let is_blind = self.is_presumed || self.old.is_none();
+        if is_blind && view.lead.is_some() && self.promoted.is_none() {
+            return self.reopen("a primary leads", self.closed_here(view));
+        }
+        if now >= self.started + CHANGE_TIMEOUT && self.promoted.is_none() {
+            return self.reopen("it takes too long", self.closed_here(view));
+        }
         match self.phase.clone() {
             Phase::Voting => Vec::new(),
             Phase::Claiming => self.claim(now, view),
@@ -357,16 +380,13 @@
         let others = self.others(view);
         let closed: Vec<EndpointId> =
             others.iter().filter(|id| self.is_closed(view, id)).cloned().collect();
-        let required = others.iter().filter(|id| {
-            (view.is_listed)(id) || view.endpoints.get(*id).is_some_and(|e| e.suspect.is_none())
-        });
-        let all_closed = required.clone().all(|id| closed.contains(id));
         let demoted = self.is_demoted(view);
-        if !closed.is_empty() && (all_closed || demoted) {
+        if self.is_enough(view, &closed) {
             let wait = match demoted {
                 true => Duration::ZERO,
                 false => EVIDENCE_VALIDITY + WAIT_MARGIN,
             };
+            self.was_demoted = demoted;
             self.enter(Phase::Waiting(now + wait), now);
             return Vec::new();
         }
@@ -377,6 +397,7 @@
         let mut steps = self.order(now, &open, ORDER_INTERVAL, |_| Order::Pause(term));
         if let Some(old) = self.old.as_ref().map(|old| old.endpoint.clone())
             && !demoted
+            && !self.is_presumed
         {
             steps.extend(self.order(now, &[old], ORDER_INTERVAL, |_| Order::Demote(term)));
         }
@@ -398,8 +419,10 @@
         }
         let confirmed: Vec<EndpointId> =
             others.iter().filter(|id| self.is_closed(view, id)).cloned().collect();
+        let answered = confirmed.len() == others.len() || now >= until + ORDER_INTERVAL;
         if let Some(target) = self.best(view, &confirmed)
-            && (confirmed.len() == others.len() || now >= until + ORDER_INTERVAL)
+            && answered
+            && (self.was_demoted || self.is_enough(view, &confirmed))
         {
             self.enter(Phase::Promoting(target), now);
             return self.advance(now, view);
@@ -429,6 +452,14 @@
         self.order(now, &[target], Duration::from_millis(40), |_| Order::Status)
     }
 
+    /// Returns the endpoints that this change may have closed.
+    fn closed_here(&self, view: &View<'_>) -> Vec<EndpointId> {
+        match self.phase {
+            Phase::Closing | Phase::Waiting(_) if view.holds_lease => self.others(view),
+            _ => Vec::new(),
+        }
+    }
+
     fn reopen(&self, reason: &'static str, closed: Vec<EndpointId>) -> Vec<Step> {
         // Replicas of a primary that may still lead must receive its log again.
         let mut steps: Vec<Step> = match self.promoted {
@@ -456,9 +487,24 @@
         steps
     }
 
-    /// Returns the endpoints but the old primary.
+    /// Returns whether no endpoint is left that could vouch for the old primary.
+    ///
+    /// Endpoints that are not listed count until the directory has given them up.
+    fn is_enough(&self, view: &View<'_>, closed: &[EndpointId]) -> bool {
+        if closed.is_empty() {
+            return false;
+        }
+        if self.is_presumed || self.old.is_none() {
+            let members = view.endpoints.len().max(view.size.min(GROUP_USUAL));
+            return closed.len() + 1 >= members;
+        }
+        self.is_demoted(view) || closed.len() == self.others(view).len()
+    }
+
+    /// Returns the endpoints but the old primary; all of them if it is only presumed.
     fn others(&self, view: &View<'_>) -> Vec<EndpointId> {
-        let old = self.old.as_ref().map(|old| &old.endpoint);
+        let known = self.old.as_ref().filter(|_| !self.is_presumed);
+        let old = known.map(|old| &old.endpoint);
         view.endpoints.keys().filter(|id| Some(*id) != old).cloned().collect()
     }
 
@@ -482,7 +528,7 @@
     }
 
     fn is_demoted(&self, view: &View<'_>) -> bool {
-        let Some(old) = &self.old else { return false };
+        let Some(old) = self.old.as_ref().filter(|_| !self.is_presumed) else { return false };
         self.status(view, &old.endpoint).is_some_and(|status| status.role == Role::Replica)
     }
 
--- a/crates/router/src/group.rs
+++ b/crates/router/src/group.rs
@@ -46,6 +46,8 @@
     pub endpoints: BTreeMap<EndpointId, Endpoint>,
     /// Whether there ever was more than one endpoint, one of which may be promoted.
     pub is_replicated: bool,
+    /// Most endpoints that there were at once.
+    pub size: usize,
     /// Since when the primary's term is closed: it is being replaced.
     pub closed: Option<Time>,
     /// The primary, if it is known.
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -366,6 +366,7 @@
             }
         }
         group.is_replicated |= group.endpoints.len() > 1;
+        group.size = group.size.max(group.endpoints.len());
         if group.lead.is_none() {
             group.leaderless.get_or_insert(now);
         }
--- a/crates/router/src/router/promotion.rs
+++ b/crates/router/src/router/promotion.rs
@@ -54,7 +54,9 @@
         let term = group.term;
         info!(%service, ?reason, old = ?old.as_ref().map(|lead| &lead.endpoint), term, "primary is to be replaced");
         let Some(group) = self.groups.get_mut(service) else { return };
-        group.change = Some(Change::new(reason, old, term, now));
+        let change = Change::new(reason, old, term, now);
+        let is_presumed = group.lead.is_none();
+        group.change = Some(if is_presumed { change.with_presumed() } else { change });
     }
 
     /// Returns why the primary is to be replaced, if it is.
@@ -168,13 +170,11 @@
         let Some(group) = self.groups.get_mut(service) else { return };
         let Some(mut change) = group.change.take() else { return };
         let before = change.phase.clone();
-        let directory = &self.directory;
-        let is_listed = |id: &EndpointId| directory.is_listed(id);
         let view = View {
             endpoints: &group.endpoints,
             lead: group.lead.as_ref(),
             term: group.term,
-            is_listed: &is_listed,
+            size: group.size,
             holds_lease,
         };
         let steps = change.advance(now, &view);
--- a/crates/router/tests/histories/main.rs
+++ b/crates/router/tests/histories/main.rs
@@ -268,3 +268,10 @@
     assert_eq!(history.world.check.broken, BTreeSet::new());
     assert_eq!(history.world.promotions, 1);
 }
+
+/// A change without a known primary went on for ever when a primary turned up.
+#[test]
+fn change_ends_when_a_primary_turns_up() {
+    let history = generate(5, false);
+    assert_eq!(history.world.check.broken, BTreeSet::new());
+}
