Try nodes that are cut off without callers

Now a channel is opened to it in the background, each time later up to two seconds, and callers go there once it answers. A node whose link broke counts as one that does not answer.

Ruled out: trying for every database that was asked for.

--- a/crates/router/src/endpoint.rs
+++ b/crates/router/src/endpoint.rs
@@ -6,11 +6,14 @@
 use crate::connection::Purpose;
 use crate::directory::Entry;
 use crate::message::{Command, ConnectionId, Position, Status, Time};
-use crate::settings::{BUSY_PAUSE, BUSY_PAUSE_MOST};
+use crate::settings::{BUSY_PAUSE, BUSY_PAUSE_MOST, RECONNECT_PAUSE};
 
 /// Weight of a new response time in the average.
 const RESPONSE_WEIGHT: f64 = 0.1;
 
+/// Times that the pause between two attempts doubles: up to two seconds.
+const PAUSES_MOST: u32 = 3;
+
 /// Endpoint of a service.
 #[derive(Debug)]
 pub struct Endpoint {
@@ -24,6 +27,8 @@
     pub applied: Option<(Time, Position)>,
     /// Since when it does not answer.
     pub suspect: Option<Time>,
+    /// Attempts to reach it in a row that failed.
+    pub failures: u32,
     /// When it was last heard.
     pub heard: Time,
     /// When a connection may be tried again.
@@ -55,6 +60,7 @@
             status: None,
             applied: None,
             suspect: None,
+            failures: 0,
             heard: now,
             connect_after: now,
             leaving_since,
@@ -71,6 +77,20 @@
     pub fn hear(&mut self, now: Time) {
         self.heard = now;
         self.suspect = None;
+        self.failures = 0;
+    }
+
+    /// Notes that an attempt to reach it failed.
+    pub fn fail(&mut self, now: Time) {
+        self.suspect = Some(now);
+        self.failures += 1;
+    }
+
+    /// Returns whether it is time to try to reach it again: each time later, up to a limit.
+    pub fn is_worth_a_try(&self, now: Time) -> bool {
+        let doubled = self.failures.saturating_sub(1).min(PAUSES_MOST);
+        let pause = RECONNECT_PAUSE * (1 << doubled);
+        self.suspect.is_some_and(|since| now >= since + pause)
     }
 
     /// Notes that it turned work away: each time in a row it gets a longer pause.
--- a/crates/router/src/router/losses.rs
+++ b/crates/router/src/router/losses.rs
@@ -24,10 +24,13 @@
             self.reject_starts(&service);
             return;
         }
+        let is_remote = self.is_remote(&service);
         if let Some(endpoint) = self.endpoint_mut(&service, &endpoint_id)
-            && !ready
+            && (!ready || is_remote)
         {
             match loss {
+                // Other nodes serve meanwhile; this one is tried without callers first.
+                _ if is_remote => endpoint.fail(now),
                 Loss::Refused(Fault::TooMany) => endpoint.connect_after = now + TOO_MANY_PAUSE,
                 Loss::Refused(_) | Loss::Broken => {
                     endpoint.connect_after = now + RECONNECT_PAUSE;
--- a/crates/router/src/router/peers.rs
+++ b/crates/router/src/router/peers.rs
@@ -195,20 +195,37 @@
             if let Some(connection) = self.connections.get(&id) {
                 let (service, endpoint) = (connection.service.clone(), connection.endpoint.clone());
                 if let Some(endpoint) = self.endpoint_mut(&service, &endpoint) {
-                    endpoint.suspect = Some(now);
+                    endpoint.fail(now);
                 }
             }
             self.disconnect(id, "the channel was not opened in time");
         }
-        let forgiven = crate::settings::RECONNECT_PAUSE;
-        for group in self.groups.values_mut().filter(|group| group.is_remote) {
-            for endpoint in group.endpoints.values_mut() {
-                if endpoint.suspect.is_some_and(|since| now >= since + forgiven * 4) {
-                    endpoint.suspect = None;
+        self.try_suspects();
+        self.forget_remotes();
+    }
+
+    /// Opens channels to nodes that could not be reached; no caller waits for these.
+    ///
+    /// Databases without sessions are left out: they may not exist, and each channel to one of
+    /// those makes the serving node read the configuration.
+    fn try_suspects(&mut self) {
+        let now = self.now;
+        let mut due = Vec::new();
+        for (service, group) in self.groups.iter().filter(|(_, group)| group.is_remote) {
+            for (id, endpoint) in &group.endpoints {
+                let opening = self.connections_to(endpoint).any(|connection| !connection.ready);
+                if endpoint.is_worth_a_try(now) && !opening {
+                    due.push((service.clone(), id.clone()));
                 }
             }
         }
-        self.forget_remotes();
+        let is_used = |service: &ServiceName| {
+            self.sessions.values().any(|session| session.remote.as_ref() == Some(service))
+        };
+        due.retain(|(service, _)| is_used(service));
+        for (service, id) in due {
+            self.connect(&service, &id);
+        }
     }
 
     fn forget_remotes(&mut self) {
--- a/crates/router/tests/peers.rs
+++ b/crates/router/tests/peers.rs
@@ -226,3 +226,48 @@
     let connects = actions.iter().any(|action| matches!(action, Action::Connect { .. }));
     assert!(!connects, "{actions:?}");
 }
+
+/// Returns the node of each channel that `actions` open.
+fn opened(actions: &[Action]) -> Vec<(ConnectionId, String)> {
+    let opened = actions.iter().filter_map(|action| match action {
+        Action::Open { connection, entry, .. } => Some((*connection, entry.id.to_string())),
+        _ => None,
+    });
+    opened.collect()
+}
+
+/// Each second, callers waited again for a near node that was cut off.
+#[test]
+fn node_that_is_cut_off_is_tried_without_callers() {
+    let mut router = entry();
+    let (_, first) = start(&mut router, 1, START);
+    let mut tried = 0;
+    let mut waits = Vec::new();
+    for step in 1..600 {
+        let now = START + Duration::from_millis(step * 15);
+        let mut actions = router.step(now, Event::Tick);
+        // Sessions come every 300 ms, the first when the silent node has been given up.
+        let comes = step > 60 && step % 20 == 0;
+        if comes {
+            router.step(now, Event::Opened(step));
+            let request = Request::Start { database: "db".to_owned() };
+            actions.extend(router.step(now, Event::Request(step, request)));
+        }
+        let mut next = 0;
+        while next < actions.len() {
+            if let Some((channel, node)) = opened(&actions[next..=next]).pop() {
+                if node == first {
+                    tried += 1;
+                } else {
+                    actions.extend(router.step(now, Event::Connected(channel, None)));
+                }
+            }
+            next += 1;
+        }
+        if comes && !actions.contains(&Action::Welcome(step)) {
+            waits.push(step * 15);
+        }
+    }
+    assert!(tried >= 3, "the silent node was tried {tried} times");
+    assert_eq!(waits, Vec::<u64>::new(), "sessions that had to wait, by time in ms");
+}
