Let the silence of a node count for all databases, and hedge slow channels

Cause: each database of a node found out by itself, and one node after the other with 600 ms each, that the nearest holders were cut off; those that answered came last, as they had lost the store. A silent link took 850 ms to be given up.

Now the silence of a node counts for all databases, new work tries another node when a channel has been opening for 120 ms, and a link is asked for a sign of life after 150 ms of silence and given up 400 ms later.

--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -27,11 +27,11 @@
 use crate::{Result, clock};
 
 /// Silence after which a link with calls under way is asked for a sign of life.
-const PING_BUSY: Duration = Duration::from_millis(250);
+const PING_BUSY: Duration = Duration::from_millis(150);
 /// Silence after which an idle link is asked for a sign of life.
 const PING_IDLE: Duration = Duration::from_millis(1500);
 /// Time for a sign of life: many round trips between regions.
-const PONG_TIMEOUT: Duration = Duration::from_millis(600);
+const PONG_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Link to a node that serves this node's callers.
 pub(crate) struct Link {
--- a/crates/router/src/endpoint.rs
+++ b/crates/router/src/endpoint.rs
@@ -82,8 +82,9 @@
 
     /// Notes that an attempt to reach it failed.
     pub fn fail(&mut self, now: Time) {
+        // Several connections may be lost at once.
+        self.failures += u32::from(self.suspect != Some(now));
         self.suspect = Some(now);
-        self.failures += 1;
     }
 
     /// Returns whether it is time to try to reach it again: each time later, up to a limit.
--- a/crates/router/src/router/answers.rs
+++ b/crates/router/src/router/answers.rs
@@ -32,7 +32,12 @@
         if let Some(position) = position {
             endpoint.applied = Some((now, position));
         }
-        if endpoint.status.is_none() && !self.is_remote(&service) {
+        if self.is_remote(&service) {
+            self.peer_answered(&endpoint_id);
+            return;
+        }
+        let Some(endpoint) = self.endpoint_mut(&service, &endpoint_id) else { return };
+        if endpoint.status.is_none() {
             self.ask_status(&service, &endpoint_id);
         }
         self.serve_commands(&service, &endpoint_id);
--- a/crates/router/src/router/dispatch.rs
+++ b/crates/router/src/router/dispatch.rs
@@ -324,7 +324,10 @@
                 && !endpoint.rests(now)
         };
         if group.is_remote {
-            let ids = group.endpoints.iter().filter(|(id, endpoint)| usable(id, endpoint));
+            let ids = group
+                .endpoints
+                .iter()
+                .filter(|(id, endpoint)| usable(id, endpoint) && !self.slow_peers.contains(*id));
             let mut ranked: Vec<_> =
                 ids.map(|(id, _)| (self.peer_rank(group, id), id.clone())).collect();
             ranked.sort();
--- a/crates/router/src/router/losses.rs
+++ b/crates/router/src/router/losses.rs
@@ -30,7 +30,7 @@
         {
             match loss {
                 // Other nodes serve meanwhile; this one is tried without callers first.
-                _ if is_remote => endpoint.fail(now),
+                _ if is_remote => self.peer_failed(&endpoint_id),
                 Loss::Refused(Fault::TooMany) => endpoint.connect_after = now + TOO_MANY_PAUSE,
                 Loss::Refused(_) | Loss::Broken => {
                     endpoint.connect_after = now + RECONNECT_PAUSE;
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -188,6 +188,8 @@
     next_connection: ConnectionId,
     peers: Vec<Peer>,
     away_peers: BTreeSet<EndpointId>,
+    /// Nodes to which a channel has been opening for long.
+    slow_peers: BTreeSet<EndpointId>,
     started: Time,
     following: Following,
     holders: usize,
@@ -222,6 +224,7 @@
             next_connection: 1,
             peers: Vec::new(),
             away_peers: BTreeSet::new(),
+            slow_peers: BTreeSet::new(),
             started: now,
             following,
             holders: DIRECT_FLEET_MOST,
--- a/crates/router/src/router/peers.rs
+++ b/crates/router/src/router/peers.rs
@@ -4,6 +4,7 @@
 //! placement, retries and the handling of lost connections are the same. What a session has set
 //! stays here and is replayed, so a holder may be lost at any time.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use tamarackbend_policy::code::Code;
@@ -25,6 +26,9 @@
 const REMOTE_PREFIX: &str = "\0peers/";
 /// Time for the fleet to become known, after which a node serves its callers itself.
 const ROLE_TIMEOUT: Time = Time::from_millis(2500);
+/// Time for a channel to open after which new work tries another node as well: some round trips
+/// between regions.
+const CHANNEL_SLOW: Time = Time::from_millis(120);
 /// Time without sessions after which a group of nodes is forgotten.
 const REMOTE_IDLE: Time = Time::from_secs(30);
 
@@ -185,6 +189,9 @@
     /// Gives up channels that do not open, and forgets groups that nobody uses.
     pub(super) fn check_peers(&mut self) {
         let now = self.now;
+        let channels = self.connections.values().filter(|c| !c.ready && self.is_remote(&c.service));
+        let slow = channels.filter(|c| now >= c.opened + CHANNEL_SLOW);
+        self.slow_peers = slow.map(|c| c.endpoint.clone()).collect();
         let late: Vec<ConnectionId> = self
             .connections
             .values()
@@ -192,11 +199,8 @@
             .map(|c| c.id)
             .collect();
         for id in late {
-            if let Some(connection) = self.connections.get(&id) {
-                let (service, endpoint) = (connection.service.clone(), connection.endpoint.clone());
-                if let Some(endpoint) = self.endpoint_mut(&service, &endpoint) {
-                    endpoint.fail(now);
-                }
+            if let Some(peer) = self.connections.get(&id).map(|state| state.endpoint.clone()) {
+                self.peer_failed(&peer);
             }
             self.disconnect(id, "the channel was not opened in time");
         }
@@ -204,26 +208,51 @@
         self.forget_remotes();
     }
 
+    /// Notes for all databases that a node does not answer.
+    pub(super) fn peer_failed(&mut self, peer: &EndpointId) {
+        let now = self.now;
+        for group in self.groups.values_mut().filter(|group| group.is_remote) {
+            if let Some(endpoint) = group.endpoints.get_mut(peer) {
+                endpoint.fail(now);
+            }
+        }
+    }
+
+    /// Notes for all databases that a node answers.
+    pub(super) fn peer_answered(&mut self, peer: &EndpointId) {
+        let now = self.now;
+        self.slow_peers.remove(peer);
+        for group in self.groups.values_mut().filter(|group| group.is_remote) {
+            if let Some(endpoint) = group.endpoints.get_mut(peer) {
+                endpoint.hear(now);
+            }
+        }
+    }
+
     /// Opens channels to nodes that could not be reached; no caller waits for these.
     ///
     /// Databases without sessions are left out: they may not exist, and each channel to one of
     /// those makes the serving node read the configuration.
     fn try_suspects(&mut self) {
         let now = self.now;
-        let mut due = Vec::new();
+        let opening: BTreeSet<&EndpointId> =
+            self.connections.values().filter(|c| !c.ready).map(|c| &c.endpoint).collect();
+        let mut due: BTreeMap<EndpointId, Vec<ServiceName>> = BTreeMap::new();
         for (service, group) in self.groups.iter().filter(|(_, group)| group.is_remote) {
             for (id, endpoint) in &group.endpoints {
-                let opening = self.connections_to(endpoint).any(|connection| !connection.ready);
-                if endpoint.is_worth_a_try(now) && !opening {
-                    due.push((service.clone(), id.clone()));
+                if endpoint.is_worth_a_try(now) && !opening.contains(id) {
+                    due.entry(id.clone()).or_default().push(service.clone());
                 }
             }
         }
         let is_used = |service: &ServiceName| {
             self.sessions.values().any(|session| session.remote.as_ref() == Some(service))
         };
-        due.retain(|(service, _)| is_used(service));
-        for (service, id) in due {
+        let due: Vec<(EndpointId, ServiceName)> = due
+            .into_iter()
+            .filter_map(|(id, services)| Some((id, services.into_iter().find(&is_used)?)))
+            .collect();
+        for (id, service) in due {
             self.connect(&service, &id);
         }
     }
--- a/crates/router/tests/peers.rs
+++ b/crates/router/tests/peers.rs
@@ -236,6 +236,34 @@
     opened.collect()
 }
 
+/// Callers of each database found out by themselves that a node was cut off.
+#[test]
+fn sessions_do_not_wait_for_one_silent_node_after_another() {
+    let mut router = entry();
+    let mut opened_at = None;
+    let mut silent = std::collections::BTreeSet::new();
+    router.step(START, Event::Opened(1));
+    let request = Request::Start { database: "db".to_owned() };
+    let mut actions = router.step(START, Event::Request(1, request));
+    for step in 1..100 {
+        // Of four nodes that hold connections, the last one answers.
+        let now = START + Duration::from_millis(step * 15);
+        for (channel, node) in opened(&actions) {
+            silent.insert(node);
+            if silent.len() == 4 {
+                actions = router.step(now, Event::Connected(channel, None));
+                opened_at = actions.contains(&Action::Welcome(1)).then_some(step * 15);
+            }
+        }
+        if opened_at.is_some() {
+            break;
+        }
+        actions = router.step(now, Event::Tick);
+    }
+    let at = opened_at.expect("the session is opened");
+    assert!(at <= 500, "the session was opened after {at} ms");
+}
+
 /// Each second, callers waited again for a near node that was cut off.
 #[test]
 fn node_that_is_cut_off_is_tried_without_callers() {
