Tell a slow node from a slow database, and time the parts of a change of primary

A node that has answered anything since the channel was asked for is not slow. The log and metrics split a change of primary into its parts. An endpoint that leaves gets no more work after 0.4 of its time, not half: its entry may be late by as long as a watch lasts.

--- a/crates/router/src/failover.rs
+++ b/crates/router/src/failover.rs
@@ -154,6 +154,23 @@
     Settling(EndpointId),
 }
 
+impl Phase {
+    /// Returns its name in logs and metrics.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Phase::Voting => "agree",
+            Phase::Claiming => "claim",
+            Phase::Surveying => "survey",
+            Phase::Demoting(_) => "demote",
+            Phase::CatchingUp(..) => "catch up",
+            Phase::Closing => "close",
+            Phase::Waiting(_) => "wait",
+            Phase::Promoting(_) => "promote",
+            Phase::Settling(_) => "settle",
+        }
+    }
+}
+
 /// What a change asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
@@ -195,6 +212,8 @@
     pub started: Time,
     /// When the part began.
     pub since: Time,
+    /// Parts that are over, and how long each took.
+    pub parts: Vec<(&'static str, Time)>,
     ordered: BTreeMap<EndpointId, Time>,
     promoted: Option<Time>,
     accepted: bool,
@@ -231,6 +250,7 @@
             phase,
             started: now,
             since: now,
+            parts: Vec::new(),
             ordered: BTreeMap::new(),
             promoted: None,
             accepted: false,
@@ -244,6 +264,12 @@
         self
     }
 
+    /// Returns the change with the time for which the old primary had been silent.
+    pub fn with_silence(mut self, silence: Time) -> Change {
+        self.parts.push(("detect", silence));
+        self
+    }
+
     /// Returns whether the change needs the lease now.
     pub fn needs_lease(&self) -> bool {
         self.phase != Phase::Voting
@@ -303,6 +329,7 @@
     }
 
     fn enter(&mut self, phase: Phase, now: Time) {
+        self.parts.push((self.phase.label(), now.saturating_sub(self.since)));
         self.phase = phase;
         self.since = now;
         self.ordered.clear();
--- a/crates/router/src/router/dispatch.rs
+++ b/crates/router/src/router/dispatch.rs
@@ -20,6 +20,9 @@
 const FAILURES_MOST: usize = 12;
 /// Part of an objective after which work that still waits will hardly meet it.
 const LATE_SHARE: f64 = 0.6;
+/// Part of the time that an endpoint takes to leave after which it gets no more work. The word of
+/// it may be late by as long as a watch of the store lasts, which is less than half of that time.
+const LEAVE_SHARE: f64 = 0.4;
 /// Silence of all endpoints that vouch for the primary after which others serve better.
 const ISOLATED_AFTER: Time = Time::from_millis(300);
 /// Age at which a response time says little: the endpoint is worth another try.
@@ -398,7 +401,7 @@
 
     /// Returns whether an endpoint that is leaving must get no more work.
     pub(super) fn has_left(&self, endpoint: &Endpoint) -> bool {
-        let within = self.settings.leave_within / 2;
+        let within = self.settings.leave_within.mul_f64(LEAVE_SHARE);
         endpoint.leaving_since.is_some_and(|since| self.now >= since + within)
     }
 
--- a/crates/router/src/router/peers.rs
+++ b/crates/router/src/router/peers.rs
@@ -190,7 +190,9 @@
     pub(super) fn check_peers(&mut self) {
         let now = self.now;
         let channels = self.connections.values().filter(|c| !c.ready && self.is_remote(&c.service));
-        let slow = channels.filter(|c| now >= c.opened + CHANNEL_SLOW);
+        let slow = channels.filter(|c| {
+            now >= c.opened + CHANNEL_SLOW && !self.is_heard_since(&c.endpoint, c.opened)
+        });
         self.slow_peers = slow.map(|c| c.endpoint.clone()).collect();
         let late: Vec<ConnectionId> = self
             .connections
@@ -199,8 +201,12 @@
             .map(|c| c.id)
             .collect();
         for id in late {
-            if let Some(peer) = self.connections.get(&id).map(|state| state.endpoint.clone()) {
+            let Some(connection) = self.connections.get(&id) else { continue };
+            let (service, peer) = (connection.service.clone(), connection.endpoint.clone());
+            if !self.is_heard_since(&peer, connection.opened) {
                 self.peer_failed(&peer);
+            } else if let Some(endpoint) = self.endpoint_mut(&service, &peer) {
+                endpoint.fail(now);
             }
             self.disconnect(id, "the channel was not opened in time");
         }
@@ -208,6 +214,13 @@
         self.forget_remotes();
     }
 
+    /// Returns whether a node has answered for any database since a time: a channel that is not
+    /// opened may wait for the configuration there.
+    fn is_heard_since(&self, peer: &EndpointId, since: Time) -> bool {
+        let groups = self.groups.values().filter(|group| group.is_remote);
+        groups.filter_map(|group| group.endpoints.get(peer)).any(|endpoint| endpoint.heard > since)
+    }
+
     /// Notes for all databases that a node does not answer.
     pub(super) fn peer_failed(&mut self, peer: &EndpointId) {
         let now = self.now;
--- a/crates/router/src/router/promotion.rs
+++ b/crates/router/src/router/promotion.rs
@@ -54,7 +54,12 @@
         let term = group.term;
         info!(%service, ?reason, old = ?old.as_ref().map(|lead| &lead.endpoint), term, "primary is to be replaced");
         let Some(group) = self.groups.get_mut(service) else { return };
-        let change = Change::new(reason, old, term, now);
+        let heard =
+            old.as_ref().and_then(|old| group.endpoints.get(&old.endpoint)).map(|e| e.heard);
+        let mut change = Change::new(reason, old, term, now);
+        if let Some(heard) = heard.filter(|_| reason == Reason::Lost) {
+            change = change.with_silence(now.saturating_sub(heard));
+        }
         let is_presumed = group.lead.is_none();
         group.change = Some(if is_presumed { change.with_presumed() } else { change });
     }
@@ -181,7 +186,10 @@
         if change.phase != before {
             info!(%service, phase = ?change.phase, "change of primary goes on");
         }
-        let started = change.started;
+        let (started, since) = (change.started, change.since);
+        let mut parts = change.parts.clone();
+        parts.push((change.phase.label(), now.saturating_sub(since)));
+        let is_own = holds_lease;
         group.change = Some(change);
         for step in steps {
             match step {
@@ -200,7 +208,16 @@
                     let took = now.saturating_sub(started);
                     metrics::histogram!("change_of_primary_seconds").record(took.as_secs_f64());
                     let took_ms = took.as_millis() as u64;
-                    info!(%service, took_ms, "change of primary is over");
+                    for (part, took) in &parts {
+                        metrics::histogram!("change_of_primary_part_seconds", "part" => *part)
+                            .record(took.as_secs_f64());
+                    }
+                    let parts: Vec<String> = parts
+                        .iter()
+                        .map(|(part, took)| format!("{part} {} ms", took.as_millis()))
+                        .collect();
+                    let parts = parts.join(", ");
+                    info!(%service, took_ms, parts, is_own, "change of primary is over");
                     self.end_change(service, Time::ZERO);
                 }
                 Step::GiveUp(why) => {
--- a/crates/router/tests/peers.rs
+++ b/crates/router/tests/peers.rs
@@ -264,6 +264,34 @@
     assert!(at <= 500, "the session was opened after {at} ms");
 }
 
+/// A node that answered others, but kept a channel to an unknown database waiting, was avoided.
+#[test]
+fn node_that_answers_for_one_database_is_not_slow_for_another() {
+    let mut router = entry();
+    let (known, node) = start(&mut router, 1, START);
+    router.step(START, Event::Connected(known, None));
+    let mut unknown = "unknown".to_owned();
+    for session in 2..40 {
+        unknown = format!("unknown-{session}");
+        router.step(START, Event::Opened(session));
+        let request = Request::Start { database: unknown.clone() };
+        let actions = router.step(START, Event::Request(session, request));
+        if opened(&actions).iter().any(|(_, other)| *other == node) {
+            break;
+        }
+    }
+    let mut again = Vec::new();
+    for step in 1..20 {
+        let now = START + Duration::from_millis(step * 15);
+        statement(&mut router, now, &format!("{step}"), read());
+        router.step(now, Event::Answered(known, done(None)));
+        again.extend(router.step(now, Event::Tick).into_iter().filter(
+            |action| matches!(action, Action::Open { database, .. } if *database == unknown),
+        ));
+    }
+    assert_eq!(again, Vec::new());
+}
+
 /// Each second, callers waited again for a near node that was cut off.
 #[test]
 fn node_that_is_cut_off_is_tried_without_callers() {
