Let evidence be valid for 600 ms

Ruled out: promoting while samples still vouch, as commits that do not wait for replicas rely on them.

--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -21,10 +21,10 @@
 
 /// How long a sample of another endpoint vouches for the primary; promotion waits at least this
 /// long after it has closed the old term.
-pub const EVIDENCE_VALIDITY: Duration = Duration::from_millis(1000);
+pub const EVIDENCE_VALIDITY: Duration = Duration::from_millis(600);
 /// Age of a sample at which work for the primary asks for another: a quarter of the validity is
-/// left, which most statements need less than.
-pub const EVIDENCE_AGE: Duration = Duration::from_millis(750);
+/// left, more than most statements take.
+pub const EVIDENCE_AGE: Duration = Duration::from_millis(450);
 /// Interval of samples of the primary's position; half of the usual staleness bounds.
 pub const POSITION_INTERVAL: Duration = Duration::from_millis(700);
 /// Age of the newest position at which evidence is asked for to get another; later, reads with the
