Give another node's change time to end before a closed term is replaced

Cause: a promoter that gets no answer of the platform opens the replicas again 3.2 s after it closed them; with 3 s another node would just then have demoted the primary. Found by reading; 5 s leave room.

--- a/crates/router/src/router/promotion.rs
+++ b/crates/router/src/router/promotion.rs
@@ -13,9 +13,9 @@
 /// Time without a known primary after which one is made.
 const LEADERLESS_TIMEOUT: Time = Time::from_millis(800);
 /// Time for which a term stays closed without a change, after which its primary is replaced: longer
-/// than another node's change takes. Opening it instead might let the primary be vouched for while
+/// than another node takes to promote, or to give up and open it. Opening it here might let the primary be vouched for while
 /// a late promotion takes effect.
-const CLOSED_TIMEOUT: Time = Time::from_millis(3000);
+const CLOSED_TIMEOUT: Time = Time::from_millis(5000);
 /// Age of a status that still says that an endpoint does not lead.
 const STATUS_AGE: Time = Time::from_millis(700);
 /// Pause after a change that was given up.
