Do without replicas only while the primary answers

Cause: a commit stopped waiting for replicas 250 ms after the primary's answer, also when the primary had been lost since then. The commit was acknowledged, and the failover promoted a replica without it: an acknowledged commit lost by a single fault. A failover that starts within 250 ms fences the term first, so this shows only where the failover has to wait, for example for the failover lease.

Found by loss_of_a_primary_loses_no_acknowledged_commit once the histories' store reports eras and the first lease has to wait: 'crashed at 1', commit 1.66 lost. Now the primary must have answered within the second half of the wait; it is probed if it has not. The same test passes, all 16 histories pass. Ruled out: the choice of the promoted endpoint, which had received the most.

--- a/crates/router/src/router/probes.rs
+++ b/crates/router/src/router/probes.rs
@@ -240,7 +240,12 @@
         let Some(waiting_since) = commits.map(|pending| pending.required_at).min() else { return };
         let is_term_confirmed =
             group.evidence.confirmed_at().is_some_and(|requested_at| requested_at >= waiting_since);
-        if now >= waiting_since + MAX_REPLICATION_WAIT && is_term_confirmed {
+        // A primary that is lost takes what no replica holds with it, so only one that still answers
+        // may do without replicas.
+        let overdue_since = waiting_since + MAX_REPLICATION_WAIT / 2;
+        let has_answered =
+            group.primary_endpoint().is_some_and(|primary| primary.last_heard_at >= overdue_since);
+        if now >= waiting_since + MAX_REPLICATION_WAIT && is_term_confirmed && has_answered {
             group.replication.suspend(now);
             warn!(%service, "replicas lag; commits stop waiting for them for a while");
             self.confirm_pending(service);
@@ -249,6 +254,13 @@
         if now < group.replication.first_check_at(waiting_since) {
             return;
         }
+        let primary = group.primary.as_ref().map(|primary| primary.endpoint.clone());
+        if now >= overdue_since
+            && !has_answered
+            && let Some(primary) = primary
+        {
+            self.send_probe_if_none(service, &primary);
+        }
         let Some(group) = self.groups.get(service) else { return };
         let mut replicas: Vec<(Time, EndpointId)> = group
             .endpoints
@@ -269,9 +281,7 @@
             replicas.truncate(1);
         }
         for (_, id) in replicas {
-            if self.endpoint_mut(service, &id).is_some_and(|e| e.probe_requested_at.is_none()) {
-                self.send_probe(service, &id);
-            }
+            self.send_probe_if_none(service, &id);
         }
     }
 
@@ -339,6 +349,12 @@
         self.send_queued_commands(service, id);
     }
 
+    fn send_probe_if_none(&mut self, service: &ServiceName, id: &EndpointId) {
+        if self.endpoint_mut(service, id).is_some_and(|e| e.probe_requested_at.is_none()) {
+            self.send_probe(service, id);
+        }
+    }
+
     /// Probes an endpoint with an empty transaction, which uses no slot. At the primary, the
     /// transaction may write and so proves that the endpoint is still the primary.
     fn send_probe(&mut self, service: &ServiceName, id: &EndpointId) {
