Order what the store says by era and revision

The store may be restored from a copy that is seconds old. Its answers then carry a higher Store-Era, revisions are given out again, and what was written since the copy is gone.

Before: the fencing token was the revision of the write that took the lease, so it fell after a restoration and could be given to two nodes; a lease that the store had forgotten was free at once, though its holder still trusted it; watches went on from revisions of the lost history; an endpoint that had drained and left was back in force.

Now router::revision orders by (era, revision). Tokens carry the era. A node that learns of a new era gives the lease up, and a lease that was not written in the present era counts as held until its holder no longer trusts it. Draining endpoints stay draining until they have reported again, those that left stay away. Answers of an earlier era, or without a usable one, are ignored and counted.

--- a/crates/objects/src/http.rs
+++ b/crates/objects/src/http.rs
@@ -59,12 +59,15 @@
     pub status: u16,
     /// JSON body; null if the response has none, or if an error response is not JSON.
     pub body: Value,
+    /// Value of the header that the client keeps; none if the response has no such header.
+    pub kept_header: Option<String>,
 }
 
 /// Client of one HTTP server.
 pub struct HttpClient {
     address: SocketAddr,
     client: RefCell<cyper::Client>,
+    kept_header: Option<&'static str>,
 }
 
 impl HttpClient {
@@ -74,7 +77,13 @@
     ///
     /// Panics if the HTTP library cannot be set up.
     pub fn new(address: SocketAddr) -> HttpClient {
-        HttpClient { address, client: RefCell::new(new_client()) }
+        HttpClient { address, client: RefCell::new(new_client()), kept_header: None }
+    }
+
+    /// Returns the client with the name of a response header that replies keep.
+    pub fn with_kept_header(mut self, name: &'static str) -> HttpClient {
+        self.kept_header = Some(name);
+        self
     }
 
     /// Returns the server's address.
@@ -124,6 +133,8 @@
         }
         let response = request.send().await?;
         let status = response.status().as_u16();
+        let kept_header = self.kept_header.and_then(|name| response.headers().get(name));
+        let kept_header = kept_header.map(|value| String::from_utf8_lossy(value.as_bytes()).into());
         let bytes = response.bytes().await?;
         let body = match bytes.is_empty() {
             true => Value::Null,
@@ -133,7 +144,7 @@
                 Error::new(Code::Invalid(format!("response to {}", call.path), error.to_string()))
             })?,
         };
-        Ok(Reply { status, body })
+        Ok(Reply { status, body, kept_header })
     }
 }
 
--- a/crates/router/src/failover.rs
+++ b/crates/router/src/failover.rs
@@ -18,6 +18,7 @@
 use crate::endpoint::Endpoint;
 use crate::group::Primary;
 use crate::message::{EndpointId, Order, Position, Role, ServiceName, Status, Term, Time};
+use crate::revision::Era;
 use crate::settings::EVIDENCE_VALIDITY;
 
 /// Votes after which a primary counts as lost.
@@ -93,9 +94,12 @@
     /// Incarnation of the holder's process.
     #[serde(rename = "run")]
     pub incarnation: u64,
-    /// Fencing token; zero while the lease is being acquired: the record's revision is then the
-    /// token.
+    /// Fencing token; zero while the lease is being acquired: the token then follows from the
+    /// record's revision.
     pub token: u64,
+    /// Era of the store in which the lease was written.
+    #[serde(default)]
+    pub era: Era,
 }
 
 impl Ballot {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod membership;
 pub mod message;
 pub mod replication;
+pub mod revision;
 mod router;
 pub mod session;
 pub mod settings;
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -29,8 +29,6 @@
     pub address: SocketAddr,
     /// CPU share of the node, in thousandths of a core.
     pub weight: u32,
-    /// Number that differs between starts of the node's process.
-    pub incarnation: u64,
 }
 
 /// Returns the poolers among `peers`, ordered by name.
--- a/crates/router/src/router/lease.rs
+++ b/crates/router/src/router/lease.rs
@@ -2,7 +2,12 @@
 //!
 //! Only the node that holds the lease may replace primaries. A node acquires the lease when one of
 //! its failovers needs it, renews it while the failover runs, and releases it afterwards. The lease
-//! is a record in the store, and its fencing token is the record's revision at the acquisition.
+//! is a record in the store, and its fencing token is derived from the record's revision at the
+//! acquisition.
+//!
+//! A store that is restored from an older copy forgets who holds the lease. A node therefore gives
+//! the lease up when it learns of a restoration, and a lease that was not written in the present era
+//! counts as held until any node that may hold it has stopped trusting it.
 
 use tracing::{info, warn};
 
@@ -11,6 +16,7 @@
     Ballot, LEASE_EXPIRY, LEASE_RENEWAL, LEASE_VALIDITY, Lease, Record, RecordName,
 };
 use crate::message::{ServiceName, Time};
+use crate::revision::{Era, Revision};
 
 /// Time between two reads of a lease that another node holds.
 const READ_INTERVAL: Time = Time::from_millis(150);
@@ -26,8 +32,10 @@
     /// Incarnation of this node's process.
     incarnation: u64,
     phase: Phase,
+    /// Era of the store, and when this node first learned of it.
+    era: Option<(Era, Time)>,
     /// Last revision of the record that was read, and when it was first read.
-    observed: Option<(u64, Time)>,
+    observed: Option<(Revision, Time)>,
     next_read_at: Time,
     /// Unanswered write, and when it was sent.
     pending_write: Option<(Time, Lease)>,
@@ -43,7 +51,7 @@
     Acquiring(Time),
     /// The lease is held; `since` is when its last successful write was sent, and `renewal_sent_at`
     /// when the unanswered renewal was.
-    Held { since: Time, revision: u64, token: u64, renewal_sent_at: Option<Time> },
+    Held { since: Time, revision: Revision, token: u64, renewal_sent_at: Option<Time> },
 }
 
 impl State {
@@ -51,6 +59,7 @@
         State {
             incarnation,
             phase: Phase::Idle,
+            era: None,
             observed: None,
             next_read_at: Time::ZERO,
             pending_write: None,
@@ -68,6 +77,53 @@
     }
 }
 
+impl State {
+    /// Records the era of the store; returns whether the store was restored. The lease is then no
+    /// longer held, and unanswered writes of it no longer count.
+    pub(super) fn enter_era(&mut self, now: Time, era: Era) -> bool {
+        let is_restored = match self.era {
+            Some((known, _)) if known >= era => return false,
+            known => known.is_some(),
+        };
+        self.era = Some((era, now));
+        if is_restored {
+            self.phase = Phase::Idle;
+            self.observed = None;
+            self.pending_write = None;
+            self.next_read_at = now;
+        }
+        is_restored
+    }
+
+    fn current_era(&self) -> Era {
+        self.era.map_or(0, |(era, _)| era)
+    }
+
+    /// Returns whether a lease that was read at `now` may be acquired, and why; the record has been
+    /// unchanged since `unchanged_since`.
+    fn availability(
+        &self,
+        now: Time,
+        node: &str,
+        record: Option<&Lease>,
+        unchanged_since: Time,
+    ) -> Option<&'static str> {
+        let is_unchanged = now >= unchanged_since + LEASE_EXPIRY;
+        match record {
+            Some(_) if is_unchanged => Some("expired"),
+            Some(lease) if lease.era != self.current_era() => None,
+            Some(lease) if lease.holder.is_empty() => Some("free"),
+            Some(lease) if lease.holder == node => Some("already held by this node"),
+            Some(_) => None,
+            // A store that reports no era has never lost a record.
+            None => match self.era {
+                Some((era, since)) if era > 0 && now < since + LEASE_EXPIRY => None,
+                _ => Some("missing"),
+            },
+        }
+    }
+}
+
 impl Router {
     /// Acquires, renews or releases the lease, depending on whether a failover needs it.
     pub(super) fn maintain_lease(&mut self) {
@@ -91,9 +147,10 @@
                 self.lease.phase = Phase::Idle;
             }
             Phase::Held { revision, .. } if !is_needed => {
-                info!(revision, "no failover needs the lease; releasing it");
+                info!(revision = revision.number, "no failover needs the lease; releasing it");
                 self.lease.phase = Phase::Idle;
-                let released = Record::Lease(Lease::default());
+                let era = self.lease.current_era();
+                let released = Record::Lease(Lease { era, ..Lease::default() });
                 self.actions.push(Action::WriteRecord(RecordName::Lease, Some(revision), released));
             }
             Phase::Held { since, revision, token, renewal_sent_at } => {
@@ -107,9 +164,13 @@
         }
     }
 
-    fn write_lease(&mut self, revision: Option<u64>, token: u64) {
-        let holder = self.settings.node.clone();
-        let lease = Lease { holder, incarnation: self.lease.incarnation, token };
+    fn write_lease(&mut self, revision: Option<Revision>, token: u64) {
+        let lease = Lease {
+            holder: self.settings.node.clone(),
+            incarnation: self.lease.incarnation,
+            token,
+            era: self.lease.current_era(),
+        };
         self.lease.pending_write = Some((self.now, lease.clone()));
         self.actions.push(Action::WriteRecord(RecordName::Lease, revision, Record::Lease(lease)));
     }
@@ -139,9 +200,9 @@
         self.lease.phase = Phase::Idle;
         self.lease.next_read_at = now + READ_INTERVAL;
         let (revision, lease) = match result {
-            FetchResult::Found(revision, Record::Lease(lease)) => (Some(revision), lease),
-            FetchResult::Found(revision, _) => (Some(revision), Lease::default()),
-            FetchResult::Missing => (None, Lease::default()),
+            FetchResult::Found(revision, Record::Lease(lease)) => (Some(revision), Some(lease)),
+            FetchResult::Found(revision, _) => (Some(revision), Some(Lease::default())),
+            FetchResult::Missing => (None, None),
             FetchResult::Failed => return,
         };
         let unchanged_since = match (self.lease.observed, revision) {
@@ -156,15 +217,14 @@
             }
             (_, None) => now,
         };
-        let is_free = lease.holder.is_empty();
-        let is_own = lease.holder == self.settings.node;
-        let is_expired = now >= unchanged_since + LEASE_EXPIRY;
-        if is_free || is_own || is_expired {
+        let node = &self.settings.node;
+        if let Some(why) = self.lease.availability(now, node, lease.as_ref(), unchanged_since) {
+            let holder = lease.map(|lease| lease.holder);
             info!(
-                holder = lease.holder,
-                revision,
-                over = is_expired,
-                "failover lease is free, expired or already held by this node; acquiring it"
+                holder,
+                revision = revision.map(|r| r.number),
+                why,
+                "acquiring the failover lease"
             );
             self.lease.phase = Phase::Acquiring(now);
             self.write_lease(revision, 0);
@@ -185,8 +245,12 @@
             return;
         }
         match result {
+            WriteResult::Done(revision) if revision.era != lease.era => {
+                warn!(%revision, "store was restored while the failover lease was written");
+                self.lease.phase = Phase::Idle;
+            }
             WriteResult::Done(revision) => {
-                let token = if lease.token == 0 { *revision } else { lease.token };
+                let token = if lease.token == 0 { revision.token() } else { lease.token };
                 self.lease.phase = Phase::Held {
                     since: sent_at,
                     revision: *revision,
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -27,7 +27,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use tamarackbend_policy::code::Code;
-use tracing::info;
+use tracing::{info, warn};
 
 use crate::configuration::{Configuration, Route};
 use crate::connection::{Connection, Purpose, SentCommand};
@@ -40,6 +40,7 @@
     Answer, Command, ConnectionId, EndpointId, Fault, Position, Request, Role, ServiceName,
     SessionId, Time,
 };
+use crate::revision::{Era, Revision};
 use crate::session::Session;
 use crate::settings::{CONNECT_TIMEOUT, PAUSE_GAP, Settings};
 
@@ -66,6 +67,8 @@
     StoreReachable,
     /// The store has become unreachable.
     StoreUnreachable,
+    /// The store reported its era for the first time, or was restored from an older copy.
+    StoreEra(Era),
     /// The nodes of the fleet were read for the first time, or have changed.
     PeersChanged(Vec<Peer>),
     /// A pooler of this node's clients reported whether the store is unreachable for it.
@@ -97,7 +100,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FetchResult {
     /// The record's revision and content.
-    Found(u64, Record),
+    Found(Revision, Record),
     /// The record does not exist.
     Missing,
     /// The store did not answer.
@@ -108,7 +111,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WriteResult {
     /// The record's new revision.
-    Done(u64),
+    Done(Revision),
     /// The record had another revision.
     Conflict,
     /// The store did not answer: the write may have taken effect, or may still do so.
@@ -161,7 +164,7 @@
     /// Read a store record.
     FetchRecord(RecordName),
     /// Write a record if it still has this revision, or create it if the revision is none.
-    WriteRecord(RecordName, Option<u64>, Record),
+    WriteRecord(RecordName, Option<Revision>, Record),
     /// Ask the platform to promote an endpoint.
     Promote {
         /// Service of the endpoint.
@@ -229,10 +232,6 @@
 impl Router {
     /// Returns the router of a node that has just started as this `incarnation` of its process.
     pub fn new(settings: Settings, incarnation: u64, now: Time) -> Router {
-        let watch_scope = match settings.is_first_start {
-            true => WatchScope::Nothing,
-            false => WatchScope::OwnClients,
-        };
         Router {
             settings,
             now,
@@ -247,7 +246,7 @@
             peers_without_store: BTreeSet::new(),
             slow_peers: BTreeSet::new(),
             started_at: now,
-            watch_scope,
+            watch_scope: WatchScope::Nothing,
             pooler_count: MAX_DIRECT_FLEET_NODES,
             is_pooler: None,
             starting_sessions: Vec::new(),
@@ -286,6 +285,7 @@
                 self.actions.push(Action::AnnounceStoreStatus { store_is_unreachable: false });
                 self.directory.restart_grace_periods(now);
             }
+            Event::StoreEra(era) => self.on_store_era(era),
             Event::PeersChanged(peers) => self.on_peers_changed(peers),
             Event::PeerStoreNotice(peer, is_unreachable) => {
                 self.on_peer_store_notice(peer, is_unreachable)
@@ -336,6 +336,23 @@
         }
     }
 
+    /// Handles the first era of the store, or a restoration, after which the store lacks its last
+    /// changes.
+    fn on_store_era(&mut self, era: Era) {
+        let is_restored = self.lease.enter_era(self.now, era);
+        if !is_restored {
+            return;
+        }
+        warn!(
+            era,
+            "store was restored from an older copy; giving up the failover lease and keeping what left"
+        );
+        self.directory.on_store_restored(self.now);
+        for group in self.groups.values_mut() {
+            group.written_ballot = None;
+        }
+    }
+
     fn on_configuration(&mut self, configuration: Configuration) {
         let current_version = self.configuration.as_ref().map(|current| current.version);
         if current_version.is_some_and(|current| current >= configuration.version) {
--- a/crates/router/src/router/peers.rs
+++ b/crates/router/src/router/peers.rs
@@ -26,6 +26,9 @@
 
 /// Prefix of the names of remote groups; names of services cannot have it.
 const REMOTE_PREFIX: &str = "\0peers/";
+/// Time that a read of the list of nodes usually takes; most nodes learn from it that they need no
+/// watches of their own.
+const FLEET_READ_TIME: Time = Time::from_millis(120);
 /// Time for the fleet to become known, after which a node serves its clients itself.
 const ROLE_TIMEOUT: Time = Time::from_millis(2500);
 /// Opening time of a channel after which new work is sent to another node: some round trips between
@@ -72,6 +75,19 @@
         }
     }
 
+    /// Prepares a restarted node to serve its clients itself if the fleet does not become known soon.
+    /// At the first start of the whole system there are no clients yet.
+    pub(super) fn prepare_without_fleet(&mut self) {
+        if self.is_pooler.is_none()
+            && self.watch_scope == WatchScope::Nothing
+            && !self.settings.is_first_start
+            && self.now >= self.started_at + FLEET_READ_TIME
+        {
+            self.watch_scope = WatchScope::OwnClients;
+            self.actions.push(Action::WatchStore(self.watch_scope));
+        }
+    }
+
     /// Returns whether the fleet is unknown and the node must not act as a pooler yet.
     pub(super) fn is_role_undecided(&self) -> bool {
         self.is_pooler.is_none() && self.now < self.started_at + ROLE_TIMEOUT
@@ -98,7 +114,11 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in removed {
-            self.remove_endpoint(service, &id, "the node is no longer a pooler or has restarted");
+            self.remove_endpoint(
+                service,
+                &id,
+                "the node is no longer a pooler or has moved to another address",
+            );
         }
         for peer in poolers.iter().filter(|peer| *peer.name != *self.settings.node) {
             let expected_time = self.expected_read_time(&peer.failure_domain);
@@ -109,7 +129,7 @@
                 failure_domain: peer.failure_domain.clone(),
                 leaving: false,
                 role: Role::Primary,
-                incarnation: peer.incarnation,
+                incarnation: 0,
             };
             if let Some(group) = self.groups.get_mut(service) {
                 group
@@ -330,5 +350,5 @@
 }
 
 fn matches_entry(peer: &Peer, entry: &Entry) -> bool {
-    peer.name == entry.id && peer.address == entry.address && peer.incarnation == entry.incarnation
+    peer.name == entry.id && peer.address == entry.address
 }
--- a/crates/router/src/router/probes.rs
+++ b/crates/router/src/router/probes.rs
@@ -37,6 +37,7 @@
                 self.apply_effect(effect);
             }
         }
+        self.prepare_without_fleet();
         self.check_sessions();
         self.check_peers();
         let services: Vec<ServiceName> = self
--- a/crates/router/src/router/promotion.rs
+++ b/crates/router/src/router/promotion.rs
@@ -12,6 +12,7 @@
 };
 use crate::group::Primary;
 use crate::message::{Command, EndpointId, Order, Role, ServiceName, Time};
+use crate::revision::Revision;
 
 /// Time without a known primary after which a failover promotes one.
 const NO_PRIMARY_TIMEOUT: Time = Time::from_millis(800);
@@ -145,7 +146,7 @@
     pub(super) fn on_ballot_read(
         &mut self,
         service: &ServiceName,
-        revision: Option<u64>,
+        revision: Option<Revision>,
         ballot: &Ballot,
     ) {
         let now = self.now;
--- a/crates/router/tests/histories/main.rs
+++ b/crates/router/tests/histories/main.rs
@@ -13,6 +13,7 @@
 use rand_chacha::ChaCha8Rng;
 use tamarackbend_replica::Freshness;
 use tamarackbend_router::configuration::Consistency;
+use tamarackbend_router::message::Role;
 
 use clients::Client;
 use world::{Party, START, World};
@@ -36,6 +37,7 @@
     Drain(usize),
     StoreDown,
     StoreUp,
+    RestoreStore(u64),
 }
 
 struct History {
@@ -47,7 +49,10 @@
 
 impl History {
     fn new(seed: u64, consistency: Consistency) -> History {
-        let mut world = World::new(NODES, consistency);
+        History::with_world(World::new(NODES, consistency), seed, consistency)
+    }
+
+    fn with_world(mut world: World, seed: u64, consistency: Consistency) -> History {
         world.run_for(Duration::from_millis(500));
         let mut clients = Vec::new();
         for node in 0..NODES {
@@ -100,6 +105,7 @@
             Fault::Drain(endpoint) => world.update_entry(endpoint, true),
             Fault::StoreDown => world.store_is_up = false,
             Fault::StoreUp => world.store_is_up = true,
+            Fault::RestoreStore(age_ms) => world.restore_store(Duration::from_millis(age_ms)),
         }
     }
 }
@@ -149,11 +155,35 @@
 fn run_generated(seed: u64, hides_fencing: bool) -> History {
     let mut history = History::new(seed, consistency_of(seed));
     history.world.hides_fencing = hides_fencing;
+    run_faults(history, seed, |_| None)
+}
+
+/// Runs a history of random faults in which the store is restored from older copies.
+fn run_restorations(seed: u64, hides_eras: bool) -> History {
+    let consistency = consistency_of(seed);
+    let world = World::new(NODES, consistency).with_hidden_eras(hides_eras);
+    let history = History::with_world(world, seed, consistency);
+    let mut restorations = ChaCha8Rng::seed_from_u64(seed ^ 0xe7a5);
+    run_faults(history, seed, move |fault| {
+        let is_due = restorations.random_ratio(1, 3) || fault == Fault::StoreUp;
+        is_due.then(|| Fault::RestoreStore(restorations.random_range(100..5000)))
+    })
+}
+
+/// Runs random faults, and after each of them the fault that `next` returns for it.
+fn run_faults(
+    mut history: History,
+    seed: u64,
+    mut next: impl FnMut(Fault) -> Option<Fault>,
+) -> History {
     let mut plan = ChaCha8Rng::seed_from_u64(seed ^ 0x5eed);
     while history.world.now < START + HISTORY_DURATION * 3 / 4 {
         history.run_for(Duration::from_millis(plan.random_range(100..900)));
         let fault = random_fault(&mut plan);
         history.apply(fault);
+        if let Some(fault) = next(fault) {
+            history.apply(fault);
+        }
     }
     history.apply(Fault::Heal);
     history.apply(Fault::StoreUp);
@@ -187,6 +217,53 @@
     assert!(violations.is_empty(), "{} violations:\n{}", violations.len(), violations.join("\n"));
 }
 
+/// Guards against fencing tokens that fall, and leases that two nodes hold, after the store was
+/// restored from an older copy.
+#[test]
+fn every_history_with_restorations_keeps_the_promises() {
+    let mut violations = Vec::new();
+    for seed in seeds() {
+        let found = run_restorations(seed, false).world.checker.violations;
+        violations.extend(found.into_iter().map(|text| format!("seed {seed}: {text}")));
+    }
+    assert!(violations.is_empty(), "{} violations:\n{}", violations.len(), violations.join("\n"));
+}
+
+/// Replaces the primary twice, restores the store to a time before that, and replaces the primary
+/// once more.
+fn replace_primaries_around_a_restoration(hides_eras: bool) -> History {
+    let world = World::new(NODES, Consistency::Latest).with_hidden_eras(hides_eras);
+    let mut history = History::with_world(world, 7, Consistency::Latest);
+    history.run_for(Duration::from_secs(3));
+    replace_primary(&mut history);
+    replace_primary(&mut history);
+    history.apply(Fault::RestoreStore(60_000));
+    replace_primary(&mut history);
+    history
+}
+
+fn replace_primary(history: &mut History) {
+    let primary = history.world.endpoints.iter().position(|e| e.role == Role::Primary && e.is_up);
+    let primary = primary.expect("one endpoint is the primary");
+    history.apply(Fault::Crash(primary));
+    history.run_for(Duration::from_secs(7));
+    history.apply(Fault::Restart(primary));
+    history.run_for(Duration::from_secs(1));
+}
+
+#[test]
+fn fencing_tokens_grow_after_a_restoration() {
+    let history = replace_primaries_around_a_restoration(false);
+    assert_eq!(history.world.checker.violations, BTreeSet::new());
+    assert_eq!(history.world.promotions, 3);
+}
+
+#[test]
+fn hidden_eras_break_a_promise() {
+    let history = replace_primaries_around_a_restoration(true);
+    assert!(!history.world.checker.violations.is_empty(), "the fencing token did not fall");
+}
+
 #[test]
 fn hidden_fencing_breaks_a_promise() {
     let has_violation =
--- a/crates/router/tests/histories/world.rs
+++ b/crates/router/tests/histories/world.rs
@@ -14,6 +14,7 @@
 use tamarackbend_router::failover::{PromotionAnswer, Record, RecordName};
 use tamarackbend_router::membership::Peer;
 use tamarackbend_router::message::{Answer, Command, ConnectionId, Request, Role, SessionId};
+use tamarackbend_router::revision::{Era, Report, Revision, Tracker, Verdict};
 use tamarackbend_router::settings::Settings;
 use tamarackbend_router::{Action, ConnectionLoss, Event, FetchResult, Router, WriteResult};
 
@@ -26,6 +27,10 @@
 const STEP_DOWN_DELAY: Duration = Duration::from_secs(1);
 /// One-way delay between a node and an endpoint, and between a node and the store.
 const ONE_WAY_DELAY: Duration = Duration::from_millis(4);
+/// Interval at which endpoints report to the store.
+const REPORT_INTERVAL: Duration = Duration::from_millis(1200);
+/// Longest time until a node's watch of the store ends, in milliseconds.
+const WATCH_MS: u64 = 2500;
 /// Interval of replication, in milliseconds.
 const REPLICATION_MS: u64 = 8;
 /// Interval of the routers' ticks, in milliseconds.
@@ -51,7 +56,16 @@
     router: Router,
     paused_until: Duration,
     connections: BTreeMap<ConnectionId, NodeConnection>,
-    from_store: VecDeque<(Duration, Event)>,
+    /// Events with the time of their arrival and the era of the store when they were sent.
+    from_store: VecDeque<(Duration, Era, Event)>,
+    eras: Tracker,
+}
+
+/// Content of the store's records at a time.
+struct Copy {
+    taken_at: Duration,
+    revision: u64,
+    records: BTreeMap<String, (u64, Record)>,
 }
 
 /// Answer that a client received.
@@ -71,10 +85,17 @@
     /// Whether endpoints report no fenced term, which makes evidence for the primary worthless.
     pub hides_fencing: bool,
     pub store_is_up: bool,
+    /// Whether the store hides its eras, so that nodes do not learn that it was restored.
+    hides_eras: bool,
     nodes: Vec<Node>,
     cuts: BTreeSet<(Party, Party)>,
     records: BTreeMap<String, (u64, Record)>,
     revision: u64,
+    era: Era,
+    /// Copies from which the store may be restored, one for each change.
+    copies: Vec<Copy>,
+    /// When endpoints report again after a restoration.
+    next_report_at: Option<Duration>,
     pending_promotion: Option<(Duration, usize)>,
     entries: Vec<Entry>,
 }
@@ -94,15 +115,25 @@
             promotions: 0,
             hides_fencing: false,
             store_is_up: true,
+            hides_eras: false,
             nodes,
             cuts: BTreeSet::new(),
             records: BTreeMap::new(),
             revision: 1,
+            era: 1,
+            copies: Vec::new(),
+            next_report_at: None,
             pending_promotion: None,
             entries,
         }
     }
 
+    /// Makes the store hide its eras.
+    pub fn with_hidden_eras(mut self, hides_eras: bool) -> World {
+        self.hides_eras = hides_eras;
+        self
+    }
+
     /// Cuts a link in both directions.
     pub fn cut(&mut self, a: Party, b: Party) {
         self.cuts.insert((a.min(b), a.max(b)));
@@ -116,7 +147,23 @@
     /// Deletes an endpoint's directory entry in the view of one node.
     pub fn hide_entry(&mut self, node: usize, endpoint: usize) {
         let absent = Event::DirectoryChanged(Change::Absent(Rc::from(ENDPOINTS[endpoint])));
-        self.nodes[node].from_store.push_back((self.now, absent));
+        self.nodes[node].from_store.push_back((self.now, self.era, absent));
+    }
+
+    /// Restores the store from a copy of this age: the records written since then are lost, and the
+    /// endpoints' entries show none as draining until the endpoints report again.
+    pub fn restore_store(&mut self, age: Duration) {
+        let restored_to = self.now.saturating_sub(age);
+        self.copies.retain(|copy| copy.taken_at <= restored_to);
+        let (revision, records) = match self.copies.last() {
+            Some(copy) => (copy.revision, copy.records.clone()),
+            None => (1, BTreeMap::new()),
+        };
+        (self.revision, self.records) = (revision, records);
+        self.era += 1;
+        let entries = self.entries.iter().map(|e| Entry { leaving: false, ..e.clone() }).collect();
+        self.notify_nodes(&Event::DirectoryChanged(Change::Snapshot(entries)));
+        self.next_report_at = Some(self.now + REPORT_INTERVAL);
     }
 
     /// Suspends a node's process for `time`.
@@ -187,12 +234,23 @@
             self.replicate();
         }
         self.finish_promotion();
+        if self.next_report_at.is_some_and(|at| self.now >= at) && self.store_is_up {
+            self.next_report_at = None;
+            let entries = Change::Snapshot(self.entries.clone());
+            self.notify_nodes(&Event::DirectoryChanged(entries));
+        }
         for index in 0..self.nodes.len() {
             self.serve_endpoints(index);
             if self.is_paused(index) {
                 continue;
             }
             self.deliver(index);
+            let ms = self.now.as_millis() as u64;
+            if (ms + index as u64 * WATCH_MS / 4).is_multiple_of(WATCH_MS)
+                && self.is_linked(Party::Node(index), Party::Store)
+            {
+                self.observe_era(index, self.era);
+            }
             if (self.now.as_millis() as u64 + index as u64).is_multiple_of(TICK_MS) {
                 self.handle_event(index, Event::Tick);
             }
@@ -303,17 +361,45 @@
         if !self.is_linked(Party::Node(index), Party::Store) {
             return;
         }
-        while self.nodes[index].from_store.front().is_some_and(|(at, _)| *at <= now) {
-            if let Some((_, event)) = self.nodes[index].from_store.pop_front() {
-                self.handle_event(index, event);
+        while self.nodes[index].from_store.front().is_some_and(|(at, _, _)| *at <= now) {
+            let Some((_, era, event)) = self.nodes[index].from_store.pop_front() else { return };
+            let is_usable = self.observe_era(index, era);
+            match event {
+                _ if is_usable => self.handle_event(index, event),
+                Event::RecordFetched(name, _) => {
+                    self.handle_event(index, Event::RecordFetched(name, FetchResult::Failed));
+                }
+                Event::RecordWritten(name, _) => {
+                    self.handle_event(index, Event::RecordWritten(name, WriteResult::Failed));
+                }
+                Event::DirectoryChanged(_) => {}
+                other => self.handle_event(index, other),
             }
         }
     }
 
+    /// Tells a node's router of a new era; returns whether an answer of `era` may be used.
+    fn observe_era(&mut self, index: usize, era: Era) -> bool {
+        let report = if self.hides_eras { Report::Missing } else { Report::Era(era) };
+        match self.nodes[index].eras.observe(report) {
+            Verdict::Current(_) => true,
+            Verdict::Entered(era) => {
+                self.handle_event(index, Event::StoreEra(era));
+                true
+            }
+            Verdict::Rejected(_) => false,
+        }
+    }
+
+    /// Returns a revision as the store's answers report it.
+    fn reported(&self, number: u64) -> Revision {
+        Revision { era: if self.hides_eras { 0 } else { self.era }, number }
+    }
+
     fn notify_nodes(&mut self, event: &Event) {
         let at = self.now + ONE_WAY_DELAY;
         for node in &mut self.nodes {
-            node.from_store.push_back((at, event.clone()));
+            node.from_store.push_back((at, self.era, event.clone()));
         }
     }
 
@@ -348,7 +434,9 @@
                 let fetch = match self.is_linked(Party::Node(node), Party::Store) {
                     false => FetchResult::Failed,
                     true => match self.records.get(&key(&name)) {
-                        Some((revision, record)) => FetchResult::Found(*revision, record.clone()),
+                        Some((revision, record)) => {
+                            FetchResult::Found(self.reported(*revision), record.clone())
+                        }
                         None => FetchResult::Missing,
                     },
                 };
@@ -368,14 +456,15 @@
 
     fn answer_later(&mut self, node: usize, event: Event) {
         let at = self.now + ONE_WAY_DELAY * 2;
-        self.nodes[node].from_store.push_back((at, event));
+        self.nodes[node].from_store.push_back((at, self.era, event));
     }
 
     fn connect(&mut self, node: usize, id: ConnectionId, entry: &Entry) {
         let Some(endpoint) = ENDPOINTS.iter().position(|name| **name == *entry.id) else { return };
         if !self.endpoints[endpoint].is_up {
             let refused = Event::ConnectionLost(id, ConnectionLoss::Broken);
-            self.nodes[node].from_store.push_back((self.now + ONE_WAY_DELAY, refused));
+            let at = self.now + ONE_WAY_DELAY;
+            self.nodes[node].from_store.push_back((at, self.era, refused));
             return;
         }
         let position = Some(self.endpoints[endpoint].applied_position());
@@ -394,19 +483,21 @@
         &mut self,
         node: usize,
         name: &RecordName,
-        revision: Option<u64>,
+        revision: Option<Revision>,
         record: Record,
     ) -> WriteResult {
         if !self.is_linked(Party::Node(node), Party::Store) {
             return WriteResult::Failed;
         }
         let stored = self.records.get(&key(name)).map(|(revision, _)| *revision);
-        if stored != revision {
+        if stored != revision.map(|revision| revision.number) {
             return WriteResult::Conflict;
         }
         self.revision += 1;
         self.records.insert(key(name), (self.revision, record));
-        WriteResult::Done(self.revision)
+        let (revision, records) = (self.revision, self.records.clone());
+        self.copies.push(Copy { taken_at: self.now, revision, records });
+        WriteResult::Done(self.reported(self.revision))
     }
 
     fn promote(&mut self, node: usize, endpoint: &str, token: u64) -> PromotionAnswer {
@@ -458,12 +549,11 @@
         failure_domain: "near".to_owned(),
         address: SocketAddr::from(([127, 0, 0, 1], 2)),
         weight: 170,
-        incarnation: index as u64 + 1,
     };
     let initial_events = VecDeque::from([
-        (START, Event::PeersChanged(vec![peer])),
-        (START, Event::ConfigurationRead(configuration)),
-        (START, Event::DirectoryChanged(Change::Snapshot(entries.to_vec()))),
+        (START, 1, Event::PeersChanged(vec![peer])),
+        (START, 1, Event::ConfigurationRead(configuration)),
+        (START, 1, Event::DirectoryChanged(Change::Snapshot(entries.to_vec()))),
     ]);
     let _ = router.step(START, Event::Tick);
     Node {
@@ -471,6 +561,7 @@
         paused_until: Duration::ZERO,
         connections: BTreeMap::new(),
         from_store: initial_events,
+        eras: Tracker::default(),
     }
 }
 
--- a/crates/router/tests/load.rs
+++ b/crates/router/tests/load.rs
@@ -69,7 +69,6 @@
             failure_domain: "a".to_owned(),
             address: ([127, 0, 0, 1], 2).into(),
             weight: 170,
-            incarnation: 1,
         };
         let entries = vec![entry("primary", Role::Primary), entry("replica", Role::Replica)];
         let mut node = Node {
--- a/crates/router/tests/peers.rs
+++ b/crates/router/tests/peers.rs
@@ -9,7 +9,7 @@
     TransactionState,
 };
 use tamarackbend_router::settings::Settings;
-use tamarackbend_router::{Action, ConnectionLoss, Event, Router, WatchScope};
+use tamarackbend_router::{Action, ConnectionLoss, Event, Router};
 
 const START: Duration = Duration::from_secs(50);
 
@@ -19,7 +19,6 @@
         failure_domain: domain.to_owned(),
         address: ([127, 0, 0, 1], 7440).into(),
         weight,
-        incarnation: 1,
     }
 }
 
@@ -52,7 +51,7 @@
 fn router_in_fleet() -> Router {
     let mut router = router("weak-a-3");
     let actions = router.step(START, Event::PeersChanged(fleet()));
-    assert!(actions.contains(&Action::WatchStore(WatchScope::Nothing)));
+    assert!(!actions.iter().any(|action| matches!(action, Action::WatchStore(_))));
     router
 }
 
