Withdraw the vote on a primary that answers again

Cause: a node that voted for the loss of a primary left its vote in the ballot when it reached the primary again. Much later, a second node that alone did not reach the primary found two votes and replaced it: a primary that was only silent for a moment to one node was given up.

Test vote_of_a_node_that_reaches_the_primary_again_does_not_count: one promotion before, none now. A write of the vote whose answer was lost is withdrawn as well, as the ballot is read again; a node that ends before it has withdrawn leaves its vote, which is listed as open.

A statement that crossed the closing of an idle channel is sent elsewhere, and idle sessions of a stopping node end with an error that says so.

--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -256,7 +256,7 @@
                 sessions.insert(channel, id);
                 let sink = Sink::Channel { channel, frames: frames.clone() };
                 inbox.send(Message::Client(id, sink));
-                inbox.send(Message::Event(Event::ClientConnected(id)));
+                inbox.send(Message::Event(Event::ChannelAccepted(id)));
                 inbox.send(Message::Event(Event::ClientRequest(id, Request::Start { database })));
             }
             Some(Body::Call(call)) => {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -384,7 +384,7 @@
                 let fault = refused.fault.map_or(Fault::Busy, decode_fault);
                 Event::ConnectionLost(id, ConnectionLoss::Refused(fault))
             }
-            Some(Body::Close(_)) => Event::ConnectionLost(id, ConnectionLoss::Broken),
+            Some(Body::Close(_)) => Event::ConnectionLost(id, ConnectionLoss::Closed),
             Some(Body::Notice(notice)) => Event::PeerStoreNotice(peer.into(), notice.store_is_away),
             _ => return false,
         };
--- a/crates/router/src/failover.rs
+++ b/crates/router/src/failover.rs
@@ -113,6 +113,12 @@
         Ballot { term: primary.term, primary: primary.endpoint.to_string(), voters }
     }
 
+    /// Returns the ballot without the vote of `node`.
+    pub fn without_vote(mut self, node: &str) -> Ballot {
+        self.voters.retain(|voter| voter != node);
+        self
+    }
+
     /// Returns whether the votes are on `primary`.
     pub fn is_for(&self, primary: &Primary) -> bool {
         self.term == primary.term && self.primary == *primary.endpoint
--- a/crates/router/src/group.rs
+++ b/crates/router/src/group.rs
@@ -83,8 +83,14 @@
     pub next_failover_at: Time,
     /// When the ballot is read again.
     pub next_ballot_read_at: Time,
+    /// When the read of the ballot that is still unanswered was requested.
+    pub ballot_requested_at: Option<Time>,
     /// Ballot that was written to the store and not confirmed yet.
     pub written_ballot: Option<Ballot>,
+    /// Whether this node has written a vote on the primary.
+    pub has_voted: bool,
+    /// Whether this node is withdrawing its vote, since the primary answers again.
+    pub is_withdrawing_vote: bool,
     /// When a session last requested work of the group.
     pub last_request_at: Time,
     /// When all endpoints were last asked for their status.
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -1,9 +1,13 @@
 //! Nodes of the fleet, and the choice of poolers: the nodes that hold connections to endpoints.
 //!
 //! Endpoints accept few connections. In a small fleet every node is a pooler. In a larger fleet the
-//! strongest nodes of each failure domain are, and the others pass their clients' statements on to
-//! them. Two nodes may see different fleets for a while; there are then a few more or fewer
-//! poolers, which affects the number of connections but not consistency.
+//! strongest nodes of each failure domain are, as many as have a set share of the domain's CPU, and
+//! the others pass their clients' statements on to them. The number of poolers so grows with the
+//! fleet. Each database is served by a few of the poolers only, so the connections of one endpoint do
+//! not grow with it.
+//!
+//! Two nodes may see different fleets for a while; there are then a few more or fewer poolers, which
+//! affects the number of connections but not consistency.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -15,8 +19,14 @@
 pub const MAX_DIRECT_FLEET_NODES: usize = 28;
 /// Poolers of a failure domain that has enough nodes, so that one of them may be lost.
 const MIN_POOLERS_PER_DOMAIN: usize = 2;
-/// Limit of poolers per failure domain, so that each has several connections to an endpoint.
-const MAX_POOLERS_PER_DOMAIN: usize = 3;
+/// Poolers of a failure domain with at least as many strong nodes, whose CPU the others do not have.
+const STRONG_POOLERS_PER_DOMAIN: usize = 3;
+/// Share of the CPU of a failure domain that its poolers have together. A statement takes about half
+/// as much CPU of its pooler as of the node of its client, and poolers need a reserve for failures.
+const POOLER_CPU_SHARE: f64 = 0.25;
+/// Poolers of a failure domain that hold connections for one database: the one that the domain's
+/// nodes use, and the one that takes its place.
+pub const POOLERS_PER_DATABASE: usize = 2;
 
 /// Node of the fleet, as announced by itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -52,14 +62,52 @@
     peers.sort_by_key(|peer| std::cmp::Reverse(peer.weight));
     let max_weight = peers.first().map_or(0, |peer| peer.weight);
     let strong_count = peers.iter().filter(|peer| peer.weight * 2 >= max_weight).count();
-    peers.truncate(strong_count.clamp(MIN_POOLERS_PER_DOMAIN, MAX_POOLERS_PER_DOMAIN));
+    let total_weight: u64 = peers.iter().map(|peer| u64::from(peer.weight)).sum();
+    let needed_weight = total_weight as f64 * POOLER_CPU_SHARE;
+    let mut weight_before = 0;
+    let sufficient_count = peers
+        .iter()
+        .take_while(|peer| {
+            let is_needed = (weight_before as f64) < needed_weight;
+            weight_before += u64::from(peer.weight);
+            is_needed
+        })
+        .count();
+    let count = strong_count.clamp(MIN_POOLERS_PER_DOMAIN, STRONG_POOLERS_PER_DOMAIN);
+    peers.truncate(count.max(sufficient_count));
     peers
 }
 
 /// Returns the rank of `peer`, which is `distance` away, for `database`; less is better.
 ///
-/// Peers at equal distance are ranked by a hash, which spreads the databases over them.
+/// Peers at equal distance are ranked by a hash, which spreads the databases over them in proportion
+/// to their weights.
 pub fn rank(peer: &Peer, database: &str, distance: u64) -> (u64, u64) {
+    /// Scales the logarithm of the hash to an integer.
+    const SCALE: f64 = 1e12;
     let key = format!("{database}/{}", peer.name);
-    (distance, xxhash_rust::xxh3::xxh3_64(key.as_bytes()))
+    let hash = xxhash_rust::xxh3::xxh3_64(key.as_bytes());
+    // Exponentially distributed with the weight as rate: the smallest of several values is that of a
+    // peer with a probability in proportion to its weight.
+    let uniform = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    (distance, (-uniform.ln() / f64::from(peer.weight.max(1)) * SCALE) as u64)
+}
+
+/// Returns the number of poolers that hold connections for one database.
+pub fn poolers_of_database(poolers: &[Peer]) -> usize {
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for peer in poolers {
+        *counts.entry(&peer.failure_domain).or_default() += 1;
+    }
+    counts.into_values().map(|count| count.min(POOLERS_PER_DATABASE)).sum()
+}
+
+/// Returns whether `node` is one of the poolers of its failure domain that hold connections for
+/// `database`.
+pub fn is_responsible(poolers: &[Peer], node: &str, database: &str) -> bool {
+    let Some(own) = poolers.iter().find(|peer| *peer.name == *node) else { return false };
+    let own_rank = (rank(own, database, 0), &own.name);
+    let domain = poolers.iter().filter(|peer| peer.failure_domain == own.failure_domain);
+    let better = domain.filter(|peer| (rank(peer, database, 0), &peer.name) < own_rank).count();
+    better < POOLERS_PER_DATABASE
 }
--- a/crates/router/src/router/clients.rs
+++ b/crates/router/src/router/clients.rs
@@ -89,7 +89,9 @@
             return;
         }
         session.database = Some(database.clone());
-        if self.is_pooler == Some(false) {
+        let is_channel = session.is_channel;
+        let is_remote = !is_channel && !self.serves_clients_of(&database);
+        if self.is_pooler == Some(false) || (self.is_pooler == Some(true) && is_remote) {
             self.start_remote_session(id, &database);
             return;
         }
@@ -120,12 +122,18 @@
     pub(super) fn resolve_starting_sessions(&mut self, is_fresh: bool) {
         for (id, started_at) in std::mem::take(&mut self.starting_sessions) {
             let Some(session) = self.sessions.get(&id) else { continue };
+            let is_channel = session.is_channel;
             let database = session.database.clone().unwrap_or_default();
+            let is_remote = match self.is_pooler {
+                Some(true) => !is_channel && !self.serves_clients_of(&database),
+                Some(false) => true,
+                None => false,
+            };
             if self.is_role_undecided() && self.now < started_at + SESSION_START_TIMEOUT {
                 self.starting_sessions.push((id, started_at));
-            } else if self.is_pooler != Some(false) && self.route(&database).is_some() {
+            } else if !is_remote && self.route(&database).is_some() {
                 self.accept_session(id);
-            } else if self.is_pooler == Some(false) {
+            } else if is_remote {
                 self.start_remote_session(id, &database);
             } else if self.configuration.is_none() {
                 match self.now >= started_at + SESSION_START_TIMEOUT {
--- a/crates/router/src/router/dispatch.rs
+++ b/crates/router/src/router/dispatch.rs
@@ -10,6 +10,7 @@
 use crate::connection::Purpose;
 use crate::endpoint::Endpoint;
 use crate::group::Group;
+use crate::membership;
 use crate::message::{
     Access, Command, ConnectionId, EndpointId, Order, Position, ServiceName, SessionId, Statement,
     Time,
@@ -473,8 +474,12 @@
 
     /// Returns the maximum number of connections of this node to one endpoint of a group.
     pub(super) fn max_connections(&self, group: &Group) -> usize {
-        let share = f64::from(group.max_connections) * MAX_CONNECTION_SHARE
-            / self.pooler_count.max(1) as f64;
+        let holder_count = match (self.poolers.len(), self.is_direct()) {
+            (0, _) => membership::MAX_DIRECT_FLEET_NODES,
+            (count, true) => count,
+            (_, false) => membership::poolers_of_database(&self.poolers),
+        };
+        let share = f64::from(group.max_connections) * MAX_CONNECTION_SHARE / holder_count as f64;
         (share as usize).clamp(MIN_CONNECTIONS_PER_ENDPOINT, MAX_CONNECTIONS_PER_ENDPOINT)
     }
 
--- a/crates/router/src/router/dump.rs
+++ b/crates/router/src/router/dump.rs
@@ -21,7 +21,7 @@
             "store_away_ms": self.age(self.store_unreachable_since),
             "holds_connections": self.is_pooler,
             "nodes": self.peers.len(),
-            "holders": self.pooler_count,
+            "holders": self.poolers.len(),
             "holders_without_store":
                 self.peers_without_store.iter().map(|p| &**p).collect::<Vec<_>>(),
             "lease_token": self.lease.token(self.now),
--- a/crates/router/src/router/lease.rs
+++ b/crates/router/src/router/lease.rs
@@ -179,6 +179,9 @@
         match name {
             RecordName::Lease => self.on_lease_read(result),
             RecordName::Ballot(service) => {
+                if let Some(group) = self.groups.get_mut(service) {
+                    group.ballot_requested_at = None;
+                }
                 let (revision, ballot) = match result {
                     FetchResult::Found(revision, Record::Ballot(ballot)) => {
                         (Some(revision), ballot)
--- a/crates/router/src/router/losses.rs
+++ b/crates/router/src/router/losses.rs
@@ -1,7 +1,8 @@
 //! Handling of lost and refused connections.
 //!
 //! Reads on a lost connection are retried at another endpoint. A write or commit that was sent is
-//! in doubt, and any other statement of a transaction fails together with the transaction.
+//! in doubt, and any other statement of a transaction fails together with the transaction. Statements
+//! that crossed the closing of an idle channel have not run and are all retried.
 
 use tamarackbend_policy::code::Code;
 use tracing::debug;
@@ -41,13 +42,38 @@
                 ConnectionLoss::Refused(Fault::TooMany) => {
                     endpoint.connect_after = now + TOO_MANY_CONNECTIONS_PAUSE
                 }
-                ConnectionLoss::Refused(_) | ConnectionLoss::Broken => {
+                ConnectionLoss::Refused(_) | ConnectionLoss::Broken | ConnectionLoss::Closed => {
                     endpoint.connect_after = now + RECONNECT_PAUSE;
                     endpoint.suspected_since.get_or_insert(now);
                 }
             }
         }
-        self.drop_connection(id);
+        match loss {
+            ConnectionLoss::Closed => self.requeue_unrun(id),
+            ConnectionLoss::Broken | ConnectionLoss::Refused(_) => self.drop_connection(id),
+        }
+    }
+
+    /// Removes a closed channel and queues the statements again that were sent over it without an
+    /// answer. Such a channel has no open transaction.
+    fn requeue_unrun(&mut self, id: ConnectionId) {
+        let Some(connection) = self.remove_connection(id) else { return };
+        if let Some(session) = connection.transaction_session {
+            self.on_transaction_lost(session, id);
+        }
+        for command in connection.unanswered {
+            let Purpose::Statement(session, serial) = command.purpose else { continue };
+            let operation = self.sessions.get_mut(&session).and_then(|s| s.current.as_mut());
+            let Some(operation) = operation.filter(|operation| {
+                operation.serial == serial && matches!(operation.stage, Stage::Sent { .. })
+            }) else {
+                continue;
+            };
+            operation.stage = Stage::Waiting;
+            let operation = operation.clone();
+            self.record_retry(&operation, &connection.endpoint, "channel closed");
+            self.enqueue(&operation.route.service, session);
+        }
     }
 
     /// Removes a connection from the router's state.
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -35,7 +35,7 @@
 use crate::endpoint::Endpoint;
 use crate::failover::{PromotionAnswer, Record, RecordName};
 use crate::group::Group;
-use crate::membership::{MAX_DIRECT_FLEET_NODES, Peer};
+use crate::membership::Peer;
 use crate::message::{
     Answer, Command, ConnectionId, EndpointId, Fault, Position, Request, Role, ServiceName,
     SessionId, Time,
@@ -51,6 +51,9 @@
 pub enum Event {
     /// A client has connected.
     ClientConnected(SessionId),
+    /// Another node has opened a channel for one of its clients; its other events are those of a
+    /// client.
+    ChannelAccepted(SessionId),
     /// A client sent a message.
     ClientRequest(SessionId, Request),
     /// A client has disconnected.
@@ -92,6 +95,8 @@
 pub enum ConnectionLoss {
     /// The connection broke, or nothing listens at the address.
     Broken,
+    /// The other node closed the channel while it was idle: it has not run the unanswered commands.
+    Closed,
     /// The endpoint refused the connection.
     Refused(Fault),
 }
@@ -211,10 +216,12 @@
     slow_peers: BTreeSet<EndpointId>,
     started_at: Time,
     watch_scope: WatchScope,
-    /// Number of nodes that hold connections to endpoints.
-    pooler_count: usize,
+    /// Nodes that hold connections to endpoints.
+    poolers: Vec<Peer>,
     /// Whether this node holds connections to endpoints; none until the fleet is known.
     is_pooler: Option<bool>,
+    /// Services for whose databases this node holds connections even before they are used.
+    own_services: BTreeSet<ServiceName>,
     /// Sessions whose database is not known yet, and when each started.
     starting_sessions: Vec<(SessionId, Time)>,
     /// Sessions that were answered in this step and have more requests queued.
@@ -247,8 +254,9 @@
             slow_peers: BTreeSet::new(),
             started_at: now,
             watch_scope: WatchScope::Nothing,
-            pooler_count: MAX_DIRECT_FLEET_NODES,
+            poolers: Vec::new(),
             is_pooler: None,
+            own_services: BTreeSet::new(),
             starting_sessions: Vec::new(),
             answered_sessions: Vec::new(),
             dirty: BTreeSet::new(),
@@ -265,8 +273,10 @@
         self.advance_clock(now);
         match event {
             Event::ClientConnected(session) => {
-                self.sessions
-                    .insert(session, Session { last_active_at: now, ..Session::default() });
+                self.sessions.insert(session, Session::new(now));
+            }
+            Event::ChannelAccepted(session) => {
+                self.sessions.insert(session, Session::new(now).with_channel());
             }
             Event::ClientRequest(session, request) => self.on_request(session, request),
             Event::ClientDisconnected(session) => self.close_session(session),
@@ -364,6 +374,7 @@
             group.max_connections = service.connections;
         }
         self.configuration = Some(configuration);
+        self.update_own_services();
         self.resolve_starting_sessions(true);
     }
 
--- a/crates/router/src/router/peers.rs
+++ b/crates/router/src/router/peers.rs
@@ -1,7 +1,7 @@
 //! Sessions that other nodes serve.
 //!
-//! In a large fleet only some nodes, the poolers, hold connections to endpoints. Any other node
-//! sends the statements of its clients over channels to poolers. For each database, the poolers
+//! In a large fleet only some nodes, the poolers, hold connections to endpoints, each of them for some
+//! databases. Any other node sends the statements of its clients over channels to poolers. For each database, the poolers
 //! form a remote group in which they take the place of endpoints, so that placement, retries and
 //! the handling of lost connections work as for endpoints. The node keeps the session's values and
 //! replays them on another channel, so that the loss of a pooler does not end the session.
@@ -34,6 +34,9 @@
 /// Opening time of a channel after which new work is sent to another node: some round trips between
 /// regions.
 const SLOW_CHANNEL_AFTER: Time = Time::from_millis(120);
+/// Time without requests after which a pooler closes its connections to the endpoints of a group that
+/// it is not responsible for.
+const UNUSED_GROUP_AFTER: Time = Time::from_secs(30);
 /// Time without sessions after which a remote group is removed.
 const REMOTE_GROUP_IDLE: Time = Time::from_secs(30);
 
@@ -44,19 +47,21 @@
         if peers == self.peers {
             return;
         }
-        let poolers = membership::poolers(&peers);
-        let pooler_count = poolers.len();
+        let poolers: Vec<Peer> = membership::poolers(&peers).into_iter().cloned().collect();
         let is_pooler = poolers.iter().any(|peer| *peer.name == *self.settings.node);
-        let poolers: Vec<Peer> = poolers.into_iter().cloned().collect();
-        if self.is_pooler != Some(is_pooler) || self.pooler_count != pooler_count {
+        if self.is_pooler != Some(is_pooler) || self.poolers.len() != poolers.len() {
             info!(
                 nodes = peers.len(),
-                holders = pooler_count,
+                holders = poolers.len(),
                 holds = is_pooler,
                 "poolers of the fleet changed"
             );
         }
-        let watch_scope = match (is_pooler, pooler_count == peers.len()) {
+        self.peers = peers;
+        self.poolers = poolers;
+        self.is_pooler = Some(is_pooler);
+        self.update_own_services();
+        let watch_scope = match (is_pooler, self.is_direct()) {
             (false, _) => WatchScope::Nothing,
             (true, true) => WatchScope::OwnClients,
             (true, false) => WatchScope::ClientsOfPeers,
@@ -65,16 +70,56 @@
             self.watch_scope = watch_scope;
             self.actions.push(Action::WatchStore(watch_scope));
         }
-        self.peers = peers;
-        self.pooler_count = pooler_count;
-        self.is_pooler = Some(is_pooler);
         let services: Vec<ServiceName> =
             self.groups.iter().filter(|(_, g)| g.is_remote).map(|(name, _)| name.clone()).collect();
         for service in services {
-            self.update_remote_group(&service, &poolers);
+            self.update_remote_group(&service);
         }
     }
 
+    /// Returns whether every node serves its own clients, as far as this node knows.
+    pub(super) fn is_direct(&self) -> bool {
+        self.poolers.len() == self.peers.len()
+    }
+
+    /// Returns whether this node is one of those that hold connections for `database`.
+    fn is_responsible(&self, database: &str) -> bool {
+        self.is_direct() || membership::is_responsible(&self.poolers, &self.settings.node, database)
+    }
+
+    /// Returns whether this node, as a pooler, serves its own clients of `database`, because it is
+    /// responsible for the database or reaches no other pooler of its failure domain.
+    pub(super) fn serves_clients_of(&self, database: &str) -> bool {
+        let has_failed = |peer: &Peer| {
+            let groups = self.groups.values().filter(|group| group.is_remote);
+            let mut endpoints = groups.filter_map(|group| group.endpoints.get(&peer.name));
+            endpoints.any(|endpoint| endpoint.suspected_since.is_some())
+        };
+        let is_near = |peer: &&Peer| {
+            peer.failure_domain == self.settings.failure_domain && *peer.name != *self.settings.node
+        };
+        self.is_responsible(database) || self.poolers.iter().filter(is_near).all(has_failed)
+    }
+
+    /// Determines the services for which this node holds connections even before they are used.
+    pub(super) fn update_own_services(&mut self) {
+        let routes = self.configuration.iter().flat_map(|configuration| &configuration.routes);
+        let own_routes = routes.filter(|(database, _)| self.is_responsible(database));
+        self.own_services = own_routes.map(|(_, route)| route.service.clone()).collect();
+    }
+
+    /// Returns whether this node holds connections to the endpoints of a group: for the databases that
+    /// it is responsible for, and for those that it was asked to serve lately.
+    pub(super) fn uses_group(&self, service: &ServiceName) -> bool {
+        let Some(group) = self.groups.get(service) else { return false };
+        let was_used = group.last_request_at > Time::ZERO
+            && self.now < group.last_request_at + UNUSED_GROUP_AFTER;
+        was_used
+            || group.failover.is_some()
+            || self.own_services.contains(service)
+            || (self.is_direct() && self.configuration.is_none())
+    }
+
     /// Prepares a restarted node to serve its clients itself if the fleet does not become known soon.
     /// At the first start of the whole system there are no clients yet.
     pub(super) fn prepare_without_fleet(&mut self) {
@@ -102,8 +147,9 @@
     }
 
     /// Updates the nodes of a remote group to the fleet's current poolers.
-    fn update_remote_group(&mut self, service: &ServiceName, poolers: &[Peer]) {
+    fn update_remote_group(&mut self, service: &ServiceName) {
         let now = self.now;
+        let poolers = self.poolers.clone();
         let Some(group) = self.groups.get(service) else { return };
         let removed: Vec<EndpointId> = group
             .endpoints
@@ -146,9 +192,7 @@
         if !self.groups.contains_key(&service) {
             let group = Group { is_remote: true, ..Group::default() };
             self.groups.insert(service.clone(), group);
-            let poolers = membership::poolers(&self.peers);
-            let poolers: Vec<Peer> = poolers.into_iter().cloned().collect();
-            self.update_remote_group(&service, &poolers);
+            self.update_remote_group(&service);
         }
         if let Some(session) = self.sessions.get_mut(&id) {
             session.serving_group = Some(service.clone());
--- a/crates/router/src/router/probes.rs
+++ b/crates/router/src/router/probes.rs
@@ -47,8 +47,12 @@
             .map(|(name, _)| name.clone())
             .collect();
         for service in &services {
-            self.check_connections(service);
-            self.sample_group(service);
+            if self.uses_group(service) {
+                self.check_connections(service);
+                self.sample_group(service);
+            } else {
+                self.close_free_connections(service);
+            }
         }
         self.check_failovers();
         self.dirty.extend(self.groups.keys().cloned());
@@ -58,7 +62,7 @@
 
     fn update_readiness(&mut self) {
         let can_serve = match self.is_pooler {
-            Some(false) => self.pooler_count > 0,
+            Some(false) => !self.poolers.is_empty(),
             // While the fleet is unknown, the node serves the databases that it can reach.
             Some(true) | None => {
                 self.configuration.is_some()
@@ -99,6 +103,16 @@
         }
     }
 
+    /// Closes the connections of a group that no session uses.
+    fn close_free_connections(&mut self, service: &ServiceName) {
+        let Some(group) = self.groups.get(service) else { return };
+        let connections = group.endpoints.values().flat_map(|e| self.connections_to(e));
+        let free: Vec<ConnectionId> = connections.filter(|c| c.is_free()).map(|c| c.id).collect();
+        for connection in free {
+            self.disconnect(connection, "no session uses the group");
+        }
+    }
+
     fn check_connecting(&mut self, service: &ServiceName, id: &EndpointId) {
         let now = self.now;
         let Some(endpoint) = self.groups.get(service).and_then(|g| g.endpoints.get(id)) else {
--- a/crates/router/src/router/promotion.rs
+++ b/crates/router/src/router/promotion.rs
@@ -10,7 +10,7 @@
 use crate::failover::{
     Ballot, Failover, PromotionAnswer, Reason, Record, RecordName, Step, VOTE_INTERVAL, View,
 };
-use crate::group::Primary;
+use crate::group::{Group, Primary};
 use crate::message::{Command, EndpointId, Order, Role, ServiceName, Time};
 use crate::revision::Revision;
 
@@ -23,6 +23,12 @@
 const FENCED_TIMEOUT: Time = Time::from_millis(5000);
 /// Maximum age of a status that shows that an endpoint is not the primary.
 const MAX_STATUS_AGE: Time = Time::from_millis(700);
+/// Unanswered reads of ballots that a node has at most.
+const MAX_BALLOT_READS: usize = 4;
+/// Time without an answer after which a read of a ballot counts as lost.
+const BALLOT_READ_TIMEOUT: Time = Time::from_millis(1200);
+/// Number of times that the interval between two reads of a ballot doubles, once a second.
+const MAX_VOTE_INTERVAL_DOUBLINGS: u32 = 3;
 /// Time after an abandoned failover in which no other is started for the group.
 const ABANDON_PAUSE: Time = Time::from_millis(400);
 
@@ -58,6 +64,7 @@
             if failover.reason == Reason::Lost && !failover.needs_lease() && has_answered {
                 info!(%service, "primary answers again; canceling its failover");
                 self.end_failover(service, Time::ZERO);
+                self.withdraw_vote(service);
             }
             return;
         }
@@ -77,6 +84,7 @@
             failover = failover.with_detection_time(now.saturating_sub(last_heard_at));
         }
         let is_presumed = group.primary.is_none();
+        group.is_withdrawing_vote = false;
         group.failover =
             Some(if is_presumed { failover.with_presumed_primary() } else { failover });
     }
@@ -133,14 +141,25 @@
         xxhash_rust::xxh3::xxh3_64(key.as_bytes()) % SPREAD_MS
     }
 
+    /// Reads the ballot of a group whose failover waits for votes. The reads of all groups are bounded
+    /// by [`MAX_BALLOT_READS`], so that the loss of many primaries does not overload the store.
     fn read_ballot(&mut self, service: &ServiceName) {
         let now = self.now;
+        let is_pending = |group: &Group| {
+            group.ballot_requested_at.is_some_and(|at| now < at + BALLOT_READ_TIMEOUT)
+        };
+        let pending_count = self.groups.values().filter(|group| is_pending(group)).count();
         let Some(group) = self.groups.get_mut(service) else { return };
-        let is_voting = group.failover.as_ref().is_some_and(|failover| !failover.needs_lease());
-        if is_voting && now >= group.next_ballot_read_at {
-            group.next_ballot_read_at = now + VOTE_INTERVAL;
-            self.actions.push(Action::FetchRecord(RecordName::Ballot(service.clone())));
+        let Some(failover) = &group.failover else { return };
+        let is_due = now >= group.next_ballot_read_at && !is_pending(group);
+        if failover.needs_lease() || !is_due || pending_count >= MAX_BALLOT_READS {
+            return;
         }
+        let doublings = (now.saturating_sub(failover.started_at).as_secs() as u32)
+            .min(MAX_VOTE_INTERVAL_DOUBLINGS);
+        group.next_ballot_read_at = now + VOTE_INTERVAL * (1 << doublings);
+        group.ballot_requested_at = Some(now);
+        self.actions.push(Action::FetchRecord(RecordName::Ballot(service.clone())));
     }
 
     pub(super) fn on_ballot_read(
@@ -152,6 +171,10 @@
         let now = self.now;
         let node = self.settings.node.clone();
         let Some(group) = self.groups.get_mut(service) else { return };
+        if let Some(revision) = revision.filter(|_| group.is_withdrawing_vote) {
+            self.write_withdrawal(service, revision, ballot);
+            return;
+        }
         let Some(failover) = group.failover.as_mut().filter(|failover| !failover.needs_lease())
         else {
             return;
@@ -171,6 +194,7 @@
         }
         let new_ballot = Ballot::with_vote(Some(ballot), &old_primary, &node);
         group.written_ballot = Some(new_ballot.clone());
+        group.has_voted = true;
         let name = RecordName::Ballot(service.clone());
         self.actions.push(Action::WriteRecord(name, revision, Record::Ballot(new_ballot)));
     }
@@ -178,6 +202,19 @@
     pub(super) fn on_ballot_written(&mut self, service: &ServiceName, result: &super::WriteResult) {
         let now = self.now;
         let Some(group) = self.groups.get_mut(service) else { return };
+        if group.is_withdrawing_vote {
+            match result {
+                super::WriteResult::Conflict => {
+                    self.actions.push(Action::FetchRecord(RecordName::Ballot(service.clone())));
+                }
+                super::WriteResult::Done(_) => group.is_withdrawing_vote = false,
+                super::WriteResult::Failed => {
+                    info!(%service, "vote on a primary that answers again could not be withdrawn");
+                    group.is_withdrawing_vote = false;
+                }
+            }
+            return;
+        }
         let Some(ballot) = group.written_ballot.take() else { return };
         let Some(failover) = group.failover.as_mut().filter(|failover| !failover.needs_lease())
         else {
@@ -201,6 +238,27 @@
         }
     }
 
+    /// Withdraws this node's vote on a primary that answers again. Otherwise, the vote of another node
+    /// would later replace the primary although only one node does not reach it.
+    fn withdraw_vote(&mut self, service: &ServiceName) {
+        let Some(group) = self.groups.get_mut(service) else { return };
+        if std::mem::take(&mut group.has_voted) {
+            group.is_withdrawing_vote = true;
+            self.actions.push(Action::FetchRecord(RecordName::Ballot(service.clone())));
+        }
+    }
+
+    fn write_withdrawal(&mut self, service: &ServiceName, revision: Revision, ballot: &Ballot) {
+        let node = &self.settings.node;
+        if ballot.voters.iter().any(|voter| voter == node) {
+            let record = Record::Ballot(ballot.clone().without_vote(node));
+            let name = RecordName::Ballot(service.clone());
+            self.actions.push(Action::WriteRecord(name, Some(revision), record));
+        } else if let Some(group) = self.groups.get_mut(service) {
+            group.is_withdrawing_vote = false;
+        }
+    }
+
     /// Advances the failover of a group and carries out its next steps.
     pub(super) fn advance_failover(&mut self, service: &ServiceName) {
         let now = self.now;
--- a/crates/router/src/router/stopping.rs
+++ b/crates/router/src/router/stopping.rs
@@ -4,10 +4,11 @@
 //! closes idle sessions, aborts idle transactions once half of the stop timeout is over, and exits
 //! when no session is left or the timeout ends.
 
+use tamarackbend_policy::code::Code;
 use tracing::info;
 
 use super::{Action, Router};
-use crate::message::{SessionId, Time, TransactionState};
+use crate::message::{Fault, SessionId, Time, TransactionState};
 use crate::settings::BALANCER_DRAIN_TIME;
 
 /// Time reserved at the end of the stop timeout for the process to exit before it is killed.
@@ -59,8 +60,7 @@
             .map(|(id, _)| *id)
             .collect();
         for id in idle {
-            self.close_session(id);
-            self.actions.push(Action::CloseSession(id));
+            self.close_idle_session(id);
         }
         if self.sessions.is_empty() {
             info!("all sessions are closed; ending the process");
@@ -68,6 +68,19 @@
         }
     }
 
+    /// Closes an idle session. A client whose next statement is already on its way takes the error for
+    /// the answer to it, and knows that the statement has not run.
+    fn close_idle_session(&mut self, id: SessionId) {
+        let is_channel = self.sessions.get(&id).is_some_and(|session| session.is_channel);
+        match is_channel {
+            true => {
+                self.close_session(id);
+                self.actions.push(Action::CloseSession(id));
+            }
+            false => self.reject_session(id, Fault::Busy, Code::Draining),
+        }
+    }
+
     fn abort_idle_transactions(&mut self) {
         let idle: Vec<SessionId> = self
             .sessions
--- a/crates/router/src/session.rs
+++ b/crates/router/src/session.rs
@@ -35,6 +35,8 @@
 pub struct Session {
     /// Database, once the session has started.
     pub database: Option<String>,
+    /// Whether the session is a channel that another node opened; this node then serves it.
+    pub is_channel: bool,
     /// Group of the poolers that serve the session; none if this node serves it.
     pub serving_group: Option<ServiceName>,
     /// Whether the client was told that the session is open.
@@ -179,6 +181,17 @@
 }
 
 impl Session {
+    /// Returns a session that was opened at `now`.
+    pub fn new(now: Time) -> Session {
+        Session { last_active_at: now, ..Session::default() }
+    }
+
+    /// Marks the session as a channel that another node opened.
+    pub fn with_channel(mut self) -> Session {
+        self.is_channel = true;
+        self
+    }
+
     /// Returns the transaction state that the client is told.
     pub fn state(&self) -> TransactionState {
         match &self.transaction {
--- a/crates/router/tests/histories/main.rs
+++ b/crates/router/tests/histories/main.rs
@@ -326,6 +326,21 @@
     assert_eq!(history.world.promotions, 1);
 }
 
+/// Guards against a primary that is replaced for the sake of one node: the vote of another node, which
+/// had reached the primary again long before, still counted.
+#[test]
+fn vote_of_a_node_that_reaches_the_primary_again_does_not_count() {
+    let faults = [
+        (2000, Fault::Cut(1, 0)),
+        (3000, Fault::Heal),
+        (5000, Fault::Cut(2, 0)),
+        (8000, Fault::Heal),
+    ];
+    let history = run_scripted(Consistency::Latest, &faults, Duration::from_secs(10));
+    assert_eq!(history.world.checker.violations, BTreeSet::new());
+    assert_eq!(history.world.promotions, 0);
+}
+
 /// Guards against acknowledging a commit before a replica has received it: such commits were lost
 /// when the primary crashed.
 #[test]
