Read the configuration seldom for the sake of unknown databases

Cause: each session of an unknown database made its pooler read the configuration, up to five times a second. The watch delivers changes within milliseconds; a read helps only where the watch was lost unnoticed.

Now one read in two seconds at most, and sessions in between are refused after 60 ms in place of 400.

--- a/crates/router/src/router/clients.rs
+++ b/crates/router/src/router/clients.rs
@@ -19,12 +19,17 @@
     BALANCER_DRAIN_TIME, RETRY_AFTER_BUSY, RETRY_AFTER_NO_PRIMARY, SESSION_START_TIMEOUT,
 };
 
-/// How long a session for an unknown database waits for a newer configuration.
+/// How long a session for an unknown database waits for the read of a newer configuration.
 const CONFIGURATION_WAIT: Time = Time::from_millis(400);
+/// How long such a session waits for the watch of the configuration to report a change that has just
+/// been made, if the configuration was read lately.
+const WATCH_DELAY: Time = Time::from_millis(60);
 /// Maximum number of requests of one session that are queued behind its current statement.
 const MAX_BACKLOG: usize = 32;
-/// Minimum time between two configuration reads that unknown databases cause.
-const MIN_REFRESH_INTERVAL: Time = Time::from_millis(200);
+/// Minimum time between two configuration reads that unknown databases cause. A watch that was lost
+/// unnoticed hides a new database for this long at most, which is less than configurations may take
+/// to be in force.
+const MIN_REFRESH_INTERVAL: Time = Time::from_secs(2);
 
 impl Router {
     pub(super) fn on_request(&mut self, id: SessionId, request: Request) {
@@ -142,6 +147,8 @@
                 }
             } else if self.now >= started_at + CONFIGURATION_WAIT
                 || (is_fresh && self.now > started_at)
+                || (self.is_configuration_recent(started_at)
+                    && self.now >= started_at + WATCH_DELAY)
             {
                 self.reject_session(id, Fault::NoDatabase, Code::NoSuchDatabase);
             } else {
@@ -150,6 +157,12 @@
         }
     }
 
+    /// Returns whether the configuration had been read shortly before `started_at`, for another session
+    /// of an unknown database.
+    fn is_configuration_recent(&self, started_at: Time) -> bool {
+        self.refreshed_at.is_some_and(|refreshed_at| refreshed_at < started_at)
+    }
+
     pub(super) fn accept_session(&mut self, id: SessionId) {
         if let Some(session) = self.sessions.get_mut(&id) {
             session.is_accepted = true;
