Rank poolers once per change of the fleet

Cause: each placement at a node that is not a pooler hashed the names of all poolers and searched the list of nodes for each of them, and each look at a group's connections counted the poolers by failure domain. Both grew with the fleet, on every machine and for every statement.

Ranks and the number of holders of an endpoint are now kept and change with the fleet. No decision changes; the tests are the same.

--- a/crates/router/src/endpoint.rs
+++ b/crates/router/src/endpoint.rs
@@ -47,6 +47,8 @@
     pub probe_requested_at: Option<Time>,
     /// End and length of the pause in which the endpoint gets no work, after a refusal as busy.
     pub backoff: Option<(Time, Duration)>,
+    /// Rank of a pooler among those of its database; less is better. Zero for database endpoints.
+    pub rank: (u64, u64),
     /// Position that the endpoint refused as not yet applied, and until when it gets no reads that
     /// need that position or a later one.
     pub lag_refusal: Option<(Position, Time)>,
@@ -73,6 +75,7 @@
             status_requested_at: None,
             probe_requested_at: None,
             backoff: None,
+            rank: (0, 0),
             lag_refusal: None,
         }
     }
--- a/crates/router/src/router/dispatch.rs
+++ b/crates/router/src/router/dispatch.rs
@@ -10,7 +10,6 @@
 use crate::connection::Purpose;
 use crate::endpoint::Endpoint;
 use crate::group::Group;
-use crate::membership;
 use crate::message::{
     Access, Command, ConnectionId, EndpointId, Order, Position, ServiceName, SessionId, Statement,
     Time,
@@ -328,11 +327,7 @@
         for_transaction: bool,
     ) -> Option<ConnectionId> {
         let group = self.groups.get(service)?;
-        let mut candidates = self.candidates(group, need, is_avoided);
-        if group.is_remote {
-            // A channel to the best node is cheap to open, so lower-ranked nodes are not used.
-            candidates.truncate(1);
-        }
+        let candidates = self.candidates(group, need, is_avoided);
         for id in candidates {
             let Some(endpoint) = group.endpoints.get(&id) else { continue };
             let connections = self.connections_to(endpoint);
@@ -353,7 +348,7 @@
         None
     }
 
-    /// Returns the endpoints that can serve `need`, the best first.
+    /// Returns the endpoints that can serve `need`, the best first; of a remote group, only the best.
     fn candidates(
         &self,
         group: &Group,
@@ -372,10 +367,12 @@
                 .endpoints
                 .iter()
                 .filter(|(id, endpoint)| is_usable(id, endpoint) && !self.slow_peers.contains(*id));
-            let mut ranked: Vec<_> =
-                ids.map(|(id, _)| (self.peer_rank(group, id), id.clone())).collect();
-            ranked.sort();
-            return ranked.into_iter().map(|(_, id)| id).collect();
+            // Nodes that do not reach the store come last: their configuration and directory may be
+            // old. A channel to the best node is cheap to open, so no other node is used.
+            let best = ids.min_by_key(|(id, endpoint)| {
+                (self.peers_without_store.contains(*id), endpoint.rank, *id)
+            });
+            return best.map(|(id, _)| id.clone()).into_iter().collect();
         }
         match need {
             Need::Primary | Need::ProvenPrimary | Need::Transaction => {
@@ -474,12 +471,8 @@
 
     /// Returns the maximum number of connections of this node to one endpoint of a group.
     pub(super) fn max_connections(&self, group: &Group) -> usize {
-        let holder_count = match (self.poolers.len(), self.is_direct()) {
-            (0, _) => membership::MAX_DIRECT_FLEET_NODES,
-            (count, true) => count,
-            (_, false) => membership::poolers_of_database(&self.poolers),
-        };
-        let share = f64::from(group.max_connections) * MAX_CONNECTION_SHARE / holder_count as f64;
+        let share = f64::from(group.max_connections) * MAX_CONNECTION_SHARE
+            / self.holder_count.max(1) as f64;
         (share as usize).clamp(MIN_CONNECTIONS_PER_ENDPOINT, MAX_CONNECTIONS_PER_ENDPOINT)
     }
 
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -35,7 +35,7 @@
 use crate::endpoint::Endpoint;
 use crate::failover::{PromotionAnswer, Record, RecordName};
 use crate::group::Group;
-use crate::membership::Peer;
+use crate::membership::{MAX_DIRECT_FLEET_NODES, Peer};
 use crate::message::{
     Answer, Command, ConnectionId, EndpointId, Fault, Position, Request, Role, ServiceName,
     SessionId, Time,
@@ -218,6 +218,8 @@
     watch_scope: WatchScope,
     /// Nodes that hold connections to endpoints.
     poolers: Vec<Peer>,
+    /// Number of nodes that hold connections to one endpoint.
+    holder_count: usize,
     /// Whether this node holds connections to endpoints; none until the fleet is known.
     is_pooler: Option<bool>,
     /// Services for whose databases this node holds connections even before they are used.
@@ -255,6 +257,7 @@
             started_at: now,
             watch_scope: WatchScope::Nothing,
             poolers: Vec::new(),
+            holder_count: MAX_DIRECT_FLEET_NODES,
             is_pooler: None,
             own_services: BTreeSet::new(),
             starting_sessions: Vec::new(),
--- a/crates/router/src/router/peers.rs
+++ b/crates/router/src/router/peers.rs
@@ -58,6 +58,10 @@
             );
         }
         self.peers = peers;
+        self.holder_count = match poolers.len() == self.peers.len() {
+            true => poolers.len(),
+            false => membership::poolers_of_database(&poolers),
+        };
         self.poolers = poolers;
         self.is_pooler = Some(is_pooler);
         self.update_own_services();
@@ -166,8 +170,10 @@
                 "the node is no longer a pooler or has moved to another address",
             );
         }
+        let database = database_of(service).unwrap_or_default();
         for peer in poolers.iter().filter(|peer| *peer.name != *self.settings.node) {
             let expected_time = self.expected_read_time(&peer.failure_domain);
+            let rank = membership::rank(peer, database, expected_time.as_millis() as u64);
             let entry = Entry {
                 id: peer.name.clone(),
                 service: service.clone(),
@@ -178,10 +184,11 @@
                 incarnation: 0,
             };
             if let Some(group) = self.groups.get_mut(service) {
-                group
+                let endpoint = group
                     .endpoints
                     .entry(peer.name.clone())
                     .or_insert_with(|| Endpoint::new(entry, expected_time, now));
+                endpoint.rank = rank;
             }
         }
     }
@@ -247,21 +254,6 @@
         database_of(service).is_some()
     }
 
-    /// Returns the rank of a node for the database of `group`; less is better.
-    ///
-    /// Nodes that do not reach the store come last: their configuration and directory may be old.
-    pub(super) fn peer_rank(&self, group: &Group, id: &EndpointId) -> (bool, u64, u64) {
-        let Some(endpoint) = group.endpoints.get(id) else { return (true, u64::MAX, 0) };
-        let Some(peer) = self.peers.iter().find(|peer| peer.name == *id) else {
-            return (true, u64::MAX, 0);
-        };
-        let lacks_store = self.peers_without_store.contains(id);
-        let distance = self.expected_read_time(&endpoint.entry.failure_domain).as_millis() as u64;
-        let database = database_of(&endpoint.entry.service).unwrap_or_default();
-        let (distance, hash) = membership::rank(peer, database, distance);
-        (lacks_store, distance, hash)
-    }
-
     /// Closes channels that do not open in time, reconnects to failed nodes, and removes unused
     /// remote groups.
     pub(super) fn check_peers(&mut self) {
