Spread the return of refused clients over the time to serve them

Load pattern: an outage refuses a crowd at once, and one delay for all brings it back at once. Retry delays now spread over the time in which the refused can be served at the rate of the last seconds, two seconds at most; a single refusal keeps its short delay. The decision is a module of its own, router::admission::retry.

--- /dev/null
+++ b/crates/router/src/admission/mod.rs
@@ -0,0 +1,3 @@
+//! Decisions on load, each for one load pattern and free of sessions and connections.
+
+pub mod retry;
--- a/crates/router/src/group.rs
+++ b/crates/router/src/group.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
+use crate::admission::retry::Crowd;
 use crate::endpoint::Endpoint;
 use crate::evidence::{Evidence, Sample};
 use crate::failover::{Ballot, Failover};
@@ -75,6 +76,8 @@
     pub pending_answers: Vec<PendingAnswer>,
     /// Sessions whose statement or transaction waits for a connection.
     pub waiting_sessions: Vec<SessionId>,
+    /// Clients that were refused lately.
+    pub crowd: Crowd,
     /// Number of waiting sessions at the last dispatch.
     pub waiting_at_dispatch: usize,
     /// Failover that this node takes part in.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -20,6 +20,7 @@
 //!
 //! [`Duration`]: std::time::Duration
 
+pub mod admission;
 pub mod configuration;
 pub mod connection;
 pub mod directory;
--- a/crates/router/src/router/clients.rs
+++ b/crates/router/src/router/clients.rs
@@ -349,6 +349,11 @@
         }
         answer.state = session.state();
         if let Some(operation) = operation {
+            if answer.outcome.fault().is_none()
+                && let Some(group) = self.groups.get_mut(&operation.route.service)
+            {
+                group.crowd.record_served(now);
+            }
             self.record_outcome(id, &operation, &answer);
         }
         self.actions.push(Action::Reply(id, answer));
@@ -381,11 +386,16 @@
             }
             Stage::Confirming => (Fault::InDoubt, Code::ConfirmTimeout),
         };
-        let retry_after = match code {
+        let min_delay = match code {
             Code::NoPrimary => Some(RETRY_AFTER_NO_PRIMARY),
             Code::QueueTimeout | Code::NoFreshEndpoint => Some(RETRY_AFTER_BUSY),
             _ => None,
         };
+        let group = self.groups.get_mut(&operation.route.service);
+        let retry_after = min_delay.zip(group).map(|(min_delay, group)| {
+            let key = xxhash_rust::xxh3::xxh3_64(operation.id.as_bytes());
+            group.crowd.refuse(self.now, min_delay, key)
+        });
         if in_transaction {
             self.fail_transaction(id);
         }
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -70,7 +70,7 @@
 pub const PAUSE_GAP: Duration = Duration::from_millis(250);
 /// Time after the stop signal in which new clients still arrive: two probes of the load balancer.
 pub const BALANCER_DRAIN_TIME: Duration = Duration::from_millis(2300);
-/// Delay that clients are told to wait before they retry after a refusal for load.
+/// Shortest delay that clients are told to wait before they retry after a refusal for load.
 pub const RETRY_AFTER_BUSY: Duration = Duration::from_millis(100);
-/// Delay that clients are told to wait before they retry while no primary is known.
+/// Shortest delay that clients are told to wait before they retry while no primary is known.
 pub const RETRY_AFTER_NO_PRIMARY: Duration = Duration::from_millis(500);
