Refuse sessions at a stopping node that is no pooler, and queue a reset

Faults noticed on reading, now each with a test that failed: a stopping node that passes its clients on still accepted sessions, which it then cut (stopping_node_refuses_new_sessions); a reset sent behind a statement was answered first, in its place (reset_waits_for_the_statement_in_flight).

--- a/crates/router/src/router/clients.rs
+++ b/crates/router/src/router/clients.rs
@@ -51,6 +51,9 @@
                 self.fail_transaction(id);
                 self.refuse(id, Fault::Malformed, Code::BadMessage, None);
             }
+            Request::Reset if session.current.is_some() && session.backlog.len() < MAX_BACKLOG => {
+                session.backlog.push_back(Request::Reset);
+            }
             Request::Reset => {
                 session.values.clear();
                 session.prepared.clear();
@@ -95,6 +98,10 @@
         }
         session.database = Some(database.clone());
         let is_channel = session.is_channel;
+        if self.stopping_since.is_some_and(|since| now >= since + BALANCER_DRAIN_TIME) {
+            self.reject_session(id, Fault::Busy, Code::Draining);
+            return;
+        }
         let is_remote = !is_channel && !self.serves_clients_of(&database);
         if self.is_pooler == Some(false) || (self.is_pooler == Some(true) && is_remote) {
             self.start_remote_session(id, &database);
@@ -104,10 +111,6 @@
             self.starting_sessions.push((id, now));
             return;
         }
-        if self.stopping_since.is_some_and(|since| now >= since + BALANCER_DRAIN_TIME) {
-            self.reject_session(id, Fault::Busy, Code::Draining);
-            return;
-        }
         if is_known {
             self.accept_session(id);
             return;
--- a/crates/router/tests/peers.rs
+++ b/crates/router/tests/peers.rs
@@ -217,6 +217,38 @@
     assert!(sent_commands(&actions).is_empty(), "{actions:?}");
 }
 
+/// Guards against sessions that a stopping node accepts and then cuts: only poolers refused them.
+#[test]
+fn stopping_node_refuses_new_sessions() {
+    let mut router = router_in_fleet();
+    router.step(START, Event::Stop);
+    let now = START + Duration::from_millis(2400);
+    router.step(now, Event::ClientConnected(1));
+    let request = Request::Start { database: "db".to_owned() };
+    let actions = router.step(now, Event::ClientRequest(1, request));
+    assert!(matches!(&actions[..], [Action::RejectSession(1, _)]), "{actions:?}");
+}
+
+/// Guards against a reset that is answered in place of the statement that was sent before it.
+#[test]
+fn reset_waits_for_the_statement_in_flight() {
+    let mut router = router_in_fleet();
+    let (channel, _) = start(&mut router, 1, START);
+    router.step(START, Event::EndpointConnected(channel, None));
+    statement(&mut router, START, "1", read());
+    assert_eq!(router.step(START, Event::ClientRequest(1, Request::Reset)), []);
+    let actions = router.step(START, Event::EndpointAnswered(channel, complete(None)));
+    let outcomes: Vec<&Outcome> = actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Reply(1, answer) => Some(&answer.outcome),
+            _ => None,
+        })
+        .collect();
+    let proof = Outcome::Complete(Some("proof".to_owned()));
+    assert_eq!(outcomes, [&proof, &Outcome::Complete(None)]);
+}
+
 #[test]
 fn session_is_rejected_when_the_pooler_does_not_know_the_database() {
     let mut router = router_in_fleet();
