Refuse an unknown database only after a read of the configuration

Cause: since the reads for unknown databases were made rarer, a request for the configuration counted as its read.

--- a/crates/router/src/router/clients.rs
+++ b/crates/router/src/router/clients.rs
@@ -26,10 +26,12 @@
 const WATCH_DELAY: Time = Time::from_millis(60);
 /// Maximum number of requests of one session that are queued behind its current statement.
 const MAX_BACKLOG: usize = 32;
-/// Minimum time between two configuration reads that unknown databases cause. A watch that was lost
-/// unnoticed hides a new database for this long at most, which is less than configurations may take
-/// to be in force.
-const MIN_REFRESH_INTERVAL: Time = Time::from_secs(2);
+/// Age up to which the last read of the configuration shows that a database does not exist. A watch
+/// that was lost unnoticed hides a new database for this long at most, which is less than
+/// configurations may take to be in force.
+const MAX_CONFIGURATION_AGE: Time = Time::from_secs(2);
+/// Minimum time between two requests for the configuration that unknown databases cause.
+const MIN_REFRESH_INTERVAL: Time = Time::from_millis(200);
 
 impl Router {
     pub(super) fn on_request(&mut self, id: SessionId, request: Request) {
@@ -117,8 +119,8 @@
         }
         // A configuration that the operator has just applied may name the database.
         self.starting_sessions.push((id, now));
-        let is_configured = self.configuration.is_some();
-        if is_configured && self.refreshed_at.is_none_or(|at| now >= at + MIN_REFRESH_INTERVAL) {
+        let may_request = self.refreshed_at.is_none_or(|at| now >= at + MIN_REFRESH_INTERVAL);
+        if self.configuration.is_some() && may_request && !self.is_configuration_recent(now) {
             self.refreshed_at = Some(now);
             self.actions.push(Action::RefreshConfiguration);
         }
@@ -160,10 +162,10 @@
         }
     }
 
-    /// Returns whether the configuration had been read shortly before `started_at`, for another session
-    /// of an unknown database.
-    fn is_configuration_recent(&self, started_at: Time) -> bool {
-        self.refreshed_at.is_some_and(|refreshed_at| refreshed_at < started_at)
+    /// Returns whether the configuration that the node has at `time` was read shortly before.
+    fn is_configuration_recent(&self, time: Time) -> bool {
+        self.configuration_read_at
+            .is_some_and(|read_at| read_at <= time && time < read_at + MAX_CONFIGURATION_AGE)
     }
 
     pub(super) fn accept_session(&mut self, id: SessionId) {
--- a/crates/router/src/router/lease.rs
+++ b/crates/router/src/router/lease.rs
@@ -191,6 +191,7 @@
                     FetchResult::Failed => return,
                 };
                 self.on_ballot_read(service, revision, &ballot);
+                self.read_ballots();
             }
         }
     }
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -230,8 +230,10 @@
     answered_sessions: Vec<SessionId>,
     /// Groups whose waiting work may be placed now.
     dirty: BTreeSet<ServiceName>,
-    /// Last configuration read that an unknown database caused.
+    /// Last request for the configuration that an unknown database caused.
     refreshed_at: Option<Time>,
+    /// When the configuration was last read, changed or not.
+    configuration_read_at: Option<Time>,
     lease: lease::State,
     store_unreachable_since: Option<Time>,
     stopping_since: Option<Time>,
@@ -264,6 +266,7 @@
             answered_sessions: Vec::new(),
             dirty: BTreeSet::new(),
             refreshed_at: None,
+            configuration_read_at: None,
             lease: lease::State::new(incarnation),
             store_unreachable_since: None,
             stopping_since: None,
@@ -367,6 +370,7 @@
     }
 
     fn on_configuration(&mut self, configuration: Configuration) {
+        self.configuration_read_at = Some(self.now);
         let current_version = self.configuration.as_ref().map(|current| current.version);
         if current_version.is_some_and(|current| current >= configuration.version) {
             return;
--- a/crates/router/src/router/promotion.rs
+++ b/crates/router/src/router/promotion.rs
@@ -43,9 +43,9 @@
             .collect();
         for service in &services {
             self.start_failover(service);
-            self.read_ballot(service);
             self.advance_failover(service);
         }
+        self.read_ballots();
         self.maintain_lease();
     }
 
@@ -141,25 +141,35 @@
         xxhash_rust::xxh3::xxh3_64(key.as_bytes()) % SPREAD_MS
     }
 
-    /// Reads the ballot of a group whose failover waits for votes. The reads of all groups are bounded
-    /// by [`MAX_BALLOT_READS`], so that the loss of many primaries does not overload the store.
-    fn read_ballot(&mut self, service: &ServiceName) {
+    /// Reads the ballots of the groups whose failovers wait for votes, those first that have waited
+    /// the longest for a read. At most [`MAX_BALLOT_READS`] are unanswered, so that the loss of many
+    /// primaries does not overload the store.
+    pub(super) fn read_ballots(&mut self) {
         let now = self.now;
         let is_pending = |group: &Group| {
             group.ballot_requested_at.is_some_and(|at| now < at + BALLOT_READ_TIMEOUT)
         };
+        let is_due = |group: &Group| {
+            let is_voting = group.failover.as_ref().is_some_and(|f| !f.needs_lease());
+            is_voting && now >= group.next_ballot_read_at && !is_pending(group)
+        };
         let pending_count = self.groups.values().filter(|group| is_pending(group)).count();
-        let Some(group) = self.groups.get_mut(service) else { return };
-        let Some(failover) = &group.failover else { return };
-        let is_due = now >= group.next_ballot_read_at && !is_pending(group);
-        if failover.needs_lease() || !is_due || pending_count >= MAX_BALLOT_READS {
-            return;
+        let mut due: Vec<(Time, ServiceName)> = self
+            .groups
+            .iter()
+            .filter(|(_, group)| is_due(group))
+            .map(|(name, group)| (group.next_ballot_read_at, name.clone()))
+            .collect();
+        due.sort();
+        for (_, service) in due.into_iter().take(MAX_BALLOT_READS.saturating_sub(pending_count)) {
+            let Some(group) = self.groups.get_mut(&service) else { continue };
+            let voting_since = group.failover.as_ref().map_or(now, |failover| failover.started_at);
+            let doublings = (now.saturating_sub(voting_since).as_secs() as u32)
+                .min(MAX_VOTE_INTERVAL_DOUBLINGS);
+            group.next_ballot_read_at = now + VOTE_INTERVAL * (1 << doublings);
+            group.ballot_requested_at = Some(now);
+            self.actions.push(Action::FetchRecord(RecordName::Ballot(service)));
         }
-        let doublings = (now.saturating_sub(failover.started_at).as_secs() as u32)
-            .min(MAX_VOTE_INTERVAL_DOUBLINGS);
-        group.next_ballot_read_at = now + VOTE_INTERVAL * (1 << doublings);
-        group.ballot_requested_at = Some(now);
-        self.actions.push(Action::FetchRecord(RecordName::Ballot(service.clone())));
     }
 
     pub(super) fn on_ballot_read(
--- a/crates/router/tests/unknown_databases.rs
+++ b/crates/router/tests/unknown_databases.rs
@@ -69,7 +69,10 @@
         actions.extend(router.step(now, Event::Tick));
         for action in actions {
             match action {
-                Action::RefreshConfiguration => reads += 1,
+                Action::RefreshConfiguration => {
+                    reads += 1;
+                    router.step(now, Event::ConfigurationRead(configuration(1, &["known"])));
+                }
                 Action::RejectSession(id, _) => rejected_after.push((step - id) * 10),
                 _ => {}
             }
@@ -85,7 +88,6 @@
 #[test]
 fn database_that_was_just_added_is_served() {
     let mut router = router();
-    start(&mut router, START, 1, "new");
     let now = START + Duration::from_millis(500);
     router.step(now, Event::Tick);
     let actions = start(&mut router, now, 2, "new");
@@ -94,3 +96,21 @@
     let actions = router.step(now, Event::ConfigurationRead(configuration(2, &["known", "new"])));
     assert!(actions.contains(&Action::AcceptSession(2)), "{actions:?}");
 }
+
+/// Guards against the refusal of a database that was added long ago, by a node that does not reach the
+/// store and takes a request for the configuration for its read.
+#[test]
+fn request_without_an_answer_does_not_show_that_a_database_is_missing() {
+    let mut router = router();
+    let mut requests = 0;
+    for step in 0..5 {
+        let now = START + Duration::from_millis(3000 + step * 300);
+        let actions = start(&mut router, now, step, "new");
+        requests += actions.iter().filter(|a| **a == Action::RefreshConfiguration).count();
+        let actions = router.step(now + Duration::from_millis(100), Event::Tick);
+        let is_rejected =
+            actions.iter().any(|a| matches!(a, Action::RejectSession(id, _) if *id == step));
+        assert!(!is_rejected, "{actions:?}");
+    }
+    assert_eq!(requests, 5);
+}
