--- a/crates/router/src/router/peers.rs
+++ b/crates/router/src/router/peers.rs
@@ -1,9 +1,9 @@
 //! Sessions that other nodes serve.
 //!
 //! In a large fleet only some nodes, the poolers, hold connections to endpoints, each of them for some
-//! databases. Any other node sends the statements of its clients over channels to poolers. For each database, the poolers
-//! form a remote group in which they take the place of endpoints, so that placement, retries and
-//! the handling of lost connections work as for endpoints. The node keeps the session's values and
+//! databases. Any other node sends the statements of its clients over channels to poolers. For each
+//! database, its poolers form a remote group in which they take the place of endpoints, so that
+//! placement, retries and the handling of lost connections work as for endpoints. The node keeps the session's values and
 //! replays them on another channel, so that the loss of a pooler does not end the session.
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/router/src/router/probes.rs
+++ b/crates/router/src/router/probes.rs
@@ -26,9 +26,10 @@
 const IDLE_INTERVAL_FACTOR: u32 = 10;
 /// Time without an answer after which a status request is repeated.
 const STATUS_TIMEOUT: Time = Time::from_millis(250);
-/// Number of groups that may all be checked in every tick; a node with more checks each of them once in
-/// [`CHECK_INTERVAL`] for each such number.
+/// Number of groups that a node may check in every tick. A node with several times as many checks each
+/// idle group once in as many intervals of [`CHECK_INTERVAL`].
 const GROUPS_PER_CHECK: usize = 32;
+/// Interval of ticks while work is in progress.
 const CHECK_INTERVAL: Time = Time::from_millis(15);
 /// Interval of status requests to all endpoints while no primary is known or its term is fenced.
 const SURVEY_INTERVAL: Time = Time::from_millis(120);
--- a/crates/router/src/router/promotion.rs
+++ b/crates/router/src/router/promotion.rs
@@ -207,7 +207,11 @@
         let now = self.now;
         let Some(group) = self.groups.get_mut(service) else { return };
         if group.is_withdrawing_vote {
+            let is_vote = group.written_ballot.take().is_some();
             match result {
+                _ if is_vote => {
+                    self.actions.push(Action::FetchRecord(RecordName::Ballot(service.clone())));
+                }
                 super::WriteResult::Conflict => {
                     self.actions.push(Action::FetchRecord(RecordName::Ballot(service.clone())));
                 }
@@ -248,7 +252,10 @@
         let Some(group) = self.groups.get_mut(service) else { return };
         if std::mem::take(&mut group.has_voted) {
             group.is_withdrawing_vote = true;
-            self.actions.push(Action::FetchRecord(RecordName::Ballot(service.clone())));
+            // A read that is served before an unanswered write of the vote would not show the vote.
+            if group.written_ballot.is_none() {
+                self.actions.push(Action::FetchRecord(RecordName::Ballot(service.clone())));
+            }
         }
     }
 
