Refuse only unsent statements when a channel is refused

Cause: a pooler that has lost the store may hold an older configuration and refuse a channel as 'no database'. The node then refused all statements of the remote group as not run, also those sent over channels to other poolers, where they ran.

Ruled out: ignoring the refusal, since sessions that wait for a channel would then wait until their timeout although the database does not exist.

Before: read_in_flight_is_not_refused and write_in_flight_is_not_refused failed. After: both pass, and the tests of the router pass.

--- a/crates/router/src/router/peers.rs
+++ b/crates/router/src/router/peers.rs
@@ -228,8 +228,8 @@
         Placement::StillWaiting
     }
 
-    /// Rejects the waiting sessions and refuses the current statements of a database that the
-    /// serving node does not know.
+    /// Rejects the starting sessions of a database that the serving node does not know, and refuses
+    /// the statements that have not been sent. Statements that were sent may run at another node.
     pub(super) fn reject_unknown_database(&mut self, service: &ServiceName) {
         let Some(group) = self.groups.get(service) else { return };
         let starting_sessions: Vec<SessionId> = group
@@ -244,13 +244,14 @@
             .filter(|(_, session)| {
                 session.is_accepted && session.serving_group.as_ref() == Some(service)
             })
-            .filter(|(_, session)| session.current.is_some())
+            .filter(|(_, session)| session.has_unsent_statement())
             .map(|(id, _)| *id)
             .collect();
         for id in starting_sessions {
             self.reject_session(id, Fault::NoDatabase, Code::NoSuchDatabase);
         }
         for id in open_sessions {
+            self.fail_transaction(id);
             self.refuse(id, Fault::NoDatabase, Code::NoSuchDatabase, None);
         }
     }
--- a/crates/router/src/session.rs
+++ b/crates/router/src/session.rs
@@ -211,6 +211,14 @@
         }
     }
 
+    /// Returns whether the current statement waits to be sent, and no statement of its transaction was
+    /// sent either.
+    pub fn has_unsent_statement(&self) -> bool {
+        let is_waiting =
+            self.current.as_ref().is_some_and(|operation| operation.stage == Stage::Waiting);
+        is_waiting && self.transaction_connection().is_none()
+    }
+
     /// Returns whether `statement` reads or writes; none if it accesses no data, or executes an
     /// unknown prepared statement.
     pub fn access_of(&self, statement: &Statement) -> Option<Access> {
