Decode customers, keys and limits, and let nodes introduce channels

The configuration holds a validated table of customers, a key is kept as its digest from the decoder on, connections to endpoints carry a customer's name, and a channel carries the digest, the customer and the version of the configuration. The router does not use them yet, so all deployments are served as before; tests of the workspace compile and only the new fields changed in them.

--- a/crates/gateway/src/channel.rs
+++ b/crates/gateway/src/channel.rs
@@ -2,14 +2,17 @@
 //!
 //! A channel is one multiplexed session on a link between two nodes.
 
+use bytes::Bytes;
+use tamarackbend_router::Introduction;
+use tamarackbend_router::customer::KeyDigest;
 use tamarackbend_router::message::{
     Access, Answer, Command, Fault, Order, Outcome, Position, Request, Statement, TransactionState,
 };
-use tamarackbend_wire::channel::{self, Call, Frame, Kind, Reply, frame::Body};
+use tamarackbend_wire::channel::{self, Call, Frame, Kind, Open, Reply, frame::Body};
 
 /// Numbers that stand for faults in frames; zero stands for any other fault, which is sent as a
 /// word.
-const FAULT_NUMBERS: [(u32, Fault); 13] = [
+const FAULT_NUMBERS: [(u32, Fault); 14] = [
     (1, Fault::Busy),
     (2, Fault::Lagging),
     (3, Fault::ReadOnly),
@@ -23,6 +26,7 @@
     (11, Fault::Malformed),
     (12, Fault::Aborted),
     (13, Fault::InDoubt),
+    (14, Fault::Unauthorized),
 ];
 
 /// Returns a frame with `body` for `channel`; channel zero addresses the link itself.
@@ -30,6 +34,43 @@
     Frame { channel, body: Some(body) }
 }
 
+/// Returns the message that opens a channel.
+pub(crate) fn encode_open(
+    database: String,
+    key: Option<KeyDigest>,
+    introduction: Introduction,
+) -> Open {
+    Open {
+        database,
+        key_digest: key.map(|key| Bytes::copy_from_slice(key.as_bytes())).unwrap_or_default(),
+        config_version: introduction.version,
+        customer: introduction.customer.as_deref().map(str::to_owned),
+    }
+}
+
+/// Returns the request that starts the session of a channel, and what the node that opened the channel
+/// knows.
+pub(crate) fn decode_open(open: Open) -> (Request, Introduction) {
+    let key = KeyDigest::from_bytes(&open.key_digest);
+    let introduction =
+        Introduction { version: open.config_version, customer: open.customer.map(Into::into) };
+    (Request::Start { database: open.database, key }, introduction)
+}
+
+pub(crate) fn encode_introduction(introduction: Introduction) -> channel::Introduction {
+    channel::Introduction {
+        config_version: introduction.version,
+        customer: introduction.customer.as_deref().map(str::to_owned),
+    }
+}
+
+pub(crate) fn decode_introduction(introduction: channel::Introduction) -> Introduction {
+    Introduction {
+        version: introduction.config_version,
+        customer: introduction.customer.map(Into::into),
+    }
+}
+
 /// Converts a command into a call to another node; returns none for orders that only endpoints
 /// take.
 pub(crate) fn encode_command(command: &Command) -> Option<Call> {
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -5,14 +5,16 @@
 use futures_channel::mpsc::UnboundedReceiver;
 use futures_util::StreamExt;
 use tamarackbend_net::{Reader, Writer, split};
-use tamarackbend_router::Event;
 use tamarackbend_router::message::{Answer, Request, SessionId};
+use tamarackbend_router::{Event, Introduction};
 
 use crate::{Events, Protocol};
 
 /// Message for the task that writes to a client's connection.
 #[derive(Debug)]
 pub(crate) enum Response {
+    /// Only channels of other nodes have an encoding for it.
+    Introduce(Introduction),
     Accept,
     Reject(Answer),
     Reply(Answer),
@@ -61,6 +63,7 @@
     let mut buffer = BytesMut::new();
     while let Some(response) = responses.next().await {
         match response {
+            Response::Introduce(_) => continue,
             Response::Accept => (protocol.encode_accept)(&mut buffer),
             Response::Reject(answer) => (protocol.encode_reject)(&answer, &mut buffer),
             Response::Reply(answer) => (protocol.encode_reply)(&answer, &mut buffer),
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -5,6 +5,7 @@
 use futures_channel::mpsc::UnboundedReceiver;
 use futures_util::StreamExt;
 use tamarackbend_net::{Reader, Writer, split};
+use tamarackbend_router::customer::CustomerName;
 use tamarackbend_router::directory::Entry;
 use tamarackbend_router::message::{Answer, Command, ConnectionId, Fault, Outcome};
 use tamarackbend_router::{ConnectionLoss, Event};
@@ -16,6 +17,7 @@
 pub(crate) async fn serve(
     id: ConnectionId,
     entry: Entry,
+    customer: Option<CustomerName>,
     protocol: Protocol,
     events: Events,
     commands: UnboundedReceiver<Vec<Command>>,
@@ -26,7 +28,7 @@
     };
     let (reader, mut writer) = split(stream);
     let mut buffer = BytesMut::new();
-    (protocol.encode_start)(&entry, &mut buffer);
+    (protocol.encode_start)(&entry, customer.as_deref(), &mut buffer);
     if writer.send(&mut buffer).await.is_err() {
         events.send(Event::ConnectionLost(id, ConnectionLoss::Broken));
         return;
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -16,14 +16,16 @@
 use futures_util::StreamExt;
 use tamarackbend_net::{Reader, Writer, split};
 use tamarackbend_router::Event;
-use tamarackbend_router::message::{ConnectionId, Request, SessionId};
+use tamarackbend_router::message::{ConnectionId, SessionId};
 use tamarackbend_wire::channel::{
     Close, Frame, Notice, Open, Opened, Ping, Pong, Refused, frame::Body,
 };
 use tamarackbend_wire::{Codec, Decoder, Encoder};
 use tracing::{info, warn};
 
-use crate::channel::{decode_call, encode_answer, encode_fault, frame};
+use crate::channel::{
+    decode_call, decode_open, encode_answer, encode_fault, encode_introduction, frame,
+};
 use crate::client::Response;
 use crate::node::{ACCEPT_RETRY_DELAY, Inbox, Message, SessionIds, Sink};
 use crate::{Result, clock};
@@ -65,10 +67,10 @@
         }
     }
 
-    pub(crate) fn open_channel(&mut self, channel: ConnectionId, database: String) {
+    pub(crate) fn open_channel(&mut self, channel: ConnectionId, open: Open) {
         self.channels.insert(channel);
         self.pending_calls += 1;
-        self.send(frame(channel, Body::Open(Open { database })));
+        self.send(frame(channel, Body::Open(open)));
     }
 
     pub(crate) fn call(&mut self, channel: ConnectionId, body: Body) {
@@ -251,13 +253,14 @@
     let mut codec = Codec::new();
     while let Some(Frame { channel, body }) = next_frame(&mut reader, &mut codec).await {
         match body {
-            Some(Body::Open(Open { database })) => {
+            Some(Body::Open(open)) => {
                 let id = session_ids.next();
                 sessions.insert(channel, id);
                 let sink = Sink::Channel { channel, frames: frames.clone() };
                 inbox.send(Message::Client(id, sink));
-                inbox.send(Message::Event(Event::ChannelAccepted(id)));
-                inbox.send(Message::Event(Event::ClientRequest(id, Request::Start { database })));
+                let (request, introduction) = decode_open(open);
+                inbox.send(Message::Event(Event::ChannelAccepted(id, introduction)));
+                inbox.send(Message::Event(Event::ClientRequest(id, request)));
             }
             Some(Body::Call(call)) => {
                 if let Some(id) = sessions.get(&channel) {
@@ -291,6 +294,7 @@
 /// Returns the frame that carries a response to the client's node.
 pub(crate) fn encode_response(channel: u64, response: Response) -> Frame {
     let body = match response {
+        Response::Introduce(introduction) => Body::Introduction(encode_introduction(introduction)),
         Response::Accept => Body::Opened(Opened {}),
         Response::Reply(answer) => Body::Reply(encode_answer(answer)),
         Response::Reject(answer) => {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -18,10 +18,12 @@
 use tamarackbend_router::directory::Entry;
 use tamarackbend_router::message::{Command, ConnectionId, Fault, SessionId};
 use tamarackbend_router::{Action, ConnectionLoss, Event, Router};
-use tamarackbend_wire::channel::{Close, Frame, frame::Body};
+use tamarackbend_wire::channel::{Close, Frame, Open, frame::Body};
 use tracing::{info, warn};
 
-use crate::channel::{decode_fault, decode_reply, encode_command, frame};
+use crate::channel::{
+    decode_fault, decode_introduction, decode_reply, encode_command, encode_open, frame,
+};
 use crate::client::{self, Response};
 use crate::link::{self, InboundLinks, Link};
 use crate::{Protocol, Result, clock, endpoint};
@@ -282,6 +284,9 @@
 
     fn perform_action(&mut self, action: Action, perform_external: &mut impl FnMut(Action)) {
         match action {
+            Action::Introduce(id, introduction) => {
+                self.respond(id, Response::Introduce(introduction));
+            }
             Action::AcceptSession(id) => self.respond(id, Response::Accept),
             Action::Reply(id, answer) => self.respond(id, Response::Reply(answer)),
             Action::RejectSession(id, answer) => {
@@ -293,15 +298,16 @@
                     sink.close();
                 }
             }
-            Action::Connect { connection, entry } => {
+            Action::Connect { connection, entry, customer } => {
                 let (commands, receiver) = unbounded();
                 let events = self.events();
-                let serving = endpoint::serve(connection, entry, self.protocol, events, receiver);
+                let serving =
+                    endpoint::serve(connection, entry, customer, self.protocol, events, receiver);
                 let task = compio::runtime::spawn(serving);
                 self.connections.insert(connection, Connection::Endpoint { commands, _task: task });
             }
-            Action::OpenChannel { connection, entry, database } => {
-                self.open_channel(connection, &entry, database);
+            Action::OpenChannel { connection, entry, database, key, introduction } => {
+                self.open_channel(connection, &entry, encode_open(database, key, introduction));
             }
             Action::SendCommands(id, commands) => self.send_commands(id, commands),
             Action::Disconnect(id) => {
@@ -324,7 +330,7 @@
         }
     }
 
-    fn open_channel(&mut self, connection: ConnectionId, entry: &Entry, database: String) {
+    fn open_channel(&mut self, connection: ConnectionId, entry: &Entry, open: Open) {
         let peer = entry.id.to_string();
         let has_link = self.links.get(&peer).is_some_and(|link| link.address == entry.address);
         if !has_link {
@@ -340,7 +346,7 @@
             }
         }
         if let Some(link) = self.links.get_mut(&peer) {
-            link.open_channel(connection, database);
+            link.open_channel(connection, open);
         }
         self.connections.insert(connection, Connection::Channel { peer });
     }
@@ -378,6 +384,9 @@
         }
         let id = frame.channel;
         let event = match frame.body {
+            Some(Body::Introduction(introduction)) => {
+                Event::ChannelIntroduced(id, decode_introduction(introduction))
+            }
             Some(Body::Opened(_)) => Event::EndpointConnected(id, None),
             Some(Body::Reply(reply)) => Event::EndpointAnswered(id, decode_reply(reply)),
             Some(Body::Refused(refused)) => {
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -34,8 +34,8 @@
     pub encode_reject: fn(&Answer, &mut BytesMut),
     /// Encodes the answer to a client's statement.
     pub encode_reply: fn(&Answer, &mut BytesMut),
-    /// Encodes the startup message of a connection to an endpoint.
-    pub encode_start: fn(&Entry, &mut BytesMut),
+    /// Encodes the startup message of a connection to an endpoint, which names the customer.
+    pub encode_start: fn(&Entry, Option<&str>, &mut BytesMut),
     /// Encodes a command for an endpoint.
     pub encode_command: fn(&Command, &mut BytesMut),
     /// Decodes an endpoint's message; an error ends the connection.
--- a/crates/policy/src/code.rs
+++ b/crates/policy/src/code.rs
@@ -38,6 +38,8 @@
     LoginTimeout = 1008,
     /// node has too many caller connections
     TooManyClients = 1009,
+    /// key is not known
+    UnknownKey = 1010,
     /// club has too many statements waiting
     QueueFull = 2001,
     /// deadline passed before a connection was free
@@ -54,6 +56,10 @@
     Canceled = 2007,
     /// no endpoint met the session's floor before the deadline
     NoFreshEndpoint = 2008,
+    /// customer is over its limit
+    OverLimit = 2009,
+    /// cannot be served before its time limit
+    Overloaded = 2010,
     /// write ran but was not confirmed in time
     ConfirmTimeout = 3001,
     /// connection to the endpoint broke while the statement ran
@@ -82,6 +88,7 @@
         Code::AnswerTooLarge,
         Code::LoginTimeout,
         Code::TooManyClients,
+        Code::UnknownKey,
         Code::QueueFull,
         Code::QueueTimeout,
         Code::NoPrimary,
@@ -90,6 +97,8 @@
         Code::TransactionLost,
         Code::Canceled,
         Code::NoFreshEndpoint,
+        Code::OverLimit,
+        Code::Overloaded,
         Code::ConfirmTimeout,
         Code::ConnectionLost,
         Code::PrimaryReplaced,
@@ -129,9 +138,10 @@
             Code::BadParameter => "22023",
             Code::AnswerTooLarge => "54000",
             Code::LoginTimeout | Code::Draining => "57P01",
-            Code::TooManyClients | Code::QueueFull => "53300",
+            Code::UnknownKey => "28000",
+            Code::TooManyClients | Code::QueueFull | Code::OverLimit => "53300",
             Code::QueueTimeout | Code::NoPrimary | Code::NoFreshEndpoint => "57P03",
-            Code::OwnerUnreachable => "57P03",
+            Code::OwnerUnreachable | Code::Overloaded => "57P03",
             Code::TransactionLost => "40001",
             Code::Canceled => "57014",
             Code::ConfirmTimeout | Code::ConnectionLost | Code::PrimaryReplaced => "08007",
--- a/crates/router/src/configuration.rs
+++ b/crates/router/src/configuration.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use crate::customer::Table;
 use crate::message::ServiceName;
 
 /// Data that the reads of a route may see.
@@ -29,6 +30,8 @@
     pub objective: Duration,
     /// Scheduling priority; zero is the most urgent.
     pub priority: u32,
+    /// Whether clients need no key.
+    pub is_public: bool,
 }
 
 /// Group of endpoints that hold one database.
@@ -41,7 +44,7 @@
 }
 
 /// One version of the operator's configuration.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Configuration {
     /// Grows with every change.
     pub version: u64,
@@ -51,4 +54,6 @@
     pub services: Vec<Service>,
     /// Longest time that a transaction may be idle between two statements.
     pub transaction_idle: Duration,
+    /// Customers; none if clients are not identified.
+    pub customers: Option<Table>,
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod admission;
 pub mod configuration;
 pub mod connection;
+pub mod customer;
 pub mod directory;
 pub mod endpoint;
 pub mod evidence;
@@ -36,4 +37,6 @@
 pub mod session;
 pub mod settings;
 
-pub use router::{Action, ConnectionLoss, Event, FetchResult, Router, WatchScope, WriteResult};
+pub use router::{
+    Action, ConnectionLoss, Event, FetchResult, Introduction, Router, WatchScope, WriteResult,
+};
--- a/crates/router/src/message.rs
+++ b/crates/router/src/message.rs
@@ -7,6 +7,8 @@
 use tamarackbend_policy::code;
 pub use tamarackbend_policy::position::{Role, Term};
 
+use crate::customer::KeyDigest;
+
 /// Time since the VM's start, suspension included.
 pub type Time = Duration;
 /// Identifies a client's session on this node.
@@ -118,6 +120,8 @@
     Start {
         /// Database to use.
         database: String,
+        /// Digest of the client's key.
+        key: Option<KeyDigest>,
     },
     /// Runs a statement.
     Statement {
@@ -221,6 +225,8 @@
     Timeout,
     /// The database is not configured.
     NoDatabase,
+    /// The client's key is not known.
+    Unauthorized,
     /// The message is too large.
     TooBig,
     /// The message cannot be parsed, or is not allowed in the session's state.
--- a/crates/router/src/router/clients.rs
+++ b/crates/router/src/router/clients.rs
@@ -39,7 +39,7 @@
         let Some(session) = self.sessions.get_mut(&id) else { return };
         session.last_active_at = now;
         match request {
-            Request::Start { database } => self.start_session(id, database),
+            Request::Start { database, key: _ } => self.start_session(id, database),
             Request::End => {
                 self.close_session(id);
                 self.actions.push(Action::CloseSession(id));
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -31,6 +31,7 @@
 
 use crate::configuration::{Configuration, Route};
 use crate::connection::{Connection, Purpose, SentCommand};
+use crate::customer::{CustomerName, KeyDigest};
 use crate::directory::{self, Directory, Entry};
 use crate::endpoint::Endpoint;
 use crate::failover::{PromotionAnswer, Record, RecordName};
@@ -53,7 +54,9 @@
     ClientConnected(SessionId),
     /// Another node has opened a channel for one of its clients; its other events are those of a
     /// client.
-    ChannelAccepted(SessionId),
+    ChannelAccepted(SessionId, Introduction),
+    /// The node at the other end of a channel reported what it knows.
+    ChannelIntroduced(ConnectionId, Introduction),
     /// A client sent a message.
     ClientRequest(SessionId, Request),
     /// A client has disconnected.
@@ -135,9 +138,21 @@
     ClientsOfPeers,
 }
 
+/// What a node knows of the configuration and of a channel's customer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Introduction {
+    /// Highest version of the configuration that the node has or was told of; zero if none.
+    pub version: u64,
+    /// Customer that the channel's key belongs to, if known.
+    pub customer: Option<CustomerName>,
+}
+
 /// Action that a router asks its node to carry out.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
+    /// Report what this node knows to the node that opened a channel, before the channel is accepted
+    /// or rejected.
+    Introduce(SessionId, Introduction),
     /// Tell a client that its session is open.
     AcceptSession(SessionId),
     /// Refuse a client's session and close the client's connection.
@@ -152,6 +167,8 @@
         connection: ConnectionId,
         /// Directory entry of the endpoint.
         entry: Entry,
+        /// Customer for whom the connection is opened; none if clients are not identified.
+        customer: Option<CustomerName>,
     },
     /// Open a channel to a pooler.
     OpenChannel {
@@ -161,6 +178,10 @@
         entry: Entry,
         /// Database of the channel's session.
         database: String,
+        /// Key of the channel's clients; none if clients are not identified.
+        key: Option<KeyDigest>,
+        /// What this node knows of the configuration and of the customer.
+        introduction: Introduction,
     },
     /// Send commands to an endpoint.
     SendCommands(ConnectionId, Vec<Command>),
@@ -281,9 +302,10 @@
             Event::ClientConnected(session) => {
                 self.sessions.insert(session, Session::new(now));
             }
-            Event::ChannelAccepted(session) => {
+            Event::ChannelAccepted(session, _introduction) => {
                 self.sessions.insert(session, Session::new(now).with_channel());
             }
+            Event::ChannelIntroduced(..) => {}
             Event::ClientRequest(session, request) => self.on_request(session, request),
             Event::ClientDisconnected(session) => self.close_session(session),
             Event::EndpointConnected(connection, position) => {
@@ -505,9 +527,11 @@
         }
         let action = match database_of(service) {
             Some(database) => {
-                Action::OpenChannel { connection, entry, database: database.to_owned() }
+                let database = database.to_owned();
+                let introduction = Introduction::default();
+                Action::OpenChannel { connection, entry, database, key: None, introduction }
             }
-            None => Action::Connect { connection, entry },
+            None => Action::Connect { connection, entry, customer: None },
         };
         self.actions.push(action);
     }
--- a/crates/router/src/router/peers.rs
+++ b/crates/router/src/router/peers.rs
@@ -388,6 +388,7 @@
         timeout: REMOTE_TIMEOUT,
         objective: REMOTE_TIMEOUT,
         priority: 0,
+        is_public: false,
     }
 }
 
--- a/crates/router/src/router/record.rs
+++ b/crates/router/src/router/record.rs
@@ -127,6 +127,7 @@
         Fault::Failed => "failed",
         Fault::Timeout => "timeout",
         Fault::NoDatabase => "no database",
+        Fault::Unauthorized => "unauthorized",
         Fault::TooBig => "too big",
         Fault::Malformed => "malformed",
         Fault::Aborted => "aborted",
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -17,6 +17,8 @@
     pub drain_timeout: Duration,
     /// Time from the stop signal until the process is killed.
     pub stop_timeout: Duration,
+    /// Whether clients are identified by keys, and work is limited by customer.
+    pub has_customers: bool,
 }
 
 /// Time for which the status of another endpoint is evidence for the primary; a failover waits at
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -46,6 +46,7 @@
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(400),
         priority: 1,
+        is_public: false,
     };
     let service = |index| Service { name: format!("s{index}").into(), connections: 76 };
     Configuration {
@@ -53,6 +54,7 @@
         routes: (0..services).map(|index| (format!("db{index}"), route(index))).collect(),
         services: (0..services).map(service).collect(),
         transaction_idle: Duration::from_secs(3),
+        customers: None,
     }
 }
 
@@ -66,6 +68,7 @@
             regions: HashMap::from([("a".to_owned(), "x".to_owned())]),
             drain_timeout: Duration::from_secs(10),
             stop_timeout: Duration::from_secs(6),
+            has_customers: false,
         };
         let mut node = Node {
             router: Router::new(settings, 1, START),
@@ -90,7 +93,7 @@
     pub fn step(&mut self, event: Event) {
         for action in self.router.step(self.now, event) {
             match action {
-                Action::Connect { connection, entry } => {
+                Action::Connect { connection, entry, .. } => {
                     let is_lost = self.lost_role == Some(entry.role);
                     self.connections.insert(connection, entry);
                     self.step(match is_lost {
--- a/crates/router/tests/fleet/mod.rs
+++ b/crates/router/tests/fleet/mod.rs
@@ -41,6 +41,7 @@
         ]),
         drain_timeout: Duration::from_secs(7),
         stop_timeout: Duration::from_secs(6),
+        has_customers: false,
     }
 }
 
@@ -53,7 +54,7 @@
 
 /// Requests the start of a connected session for the database `db`.
 pub fn request_start(router: &mut Router, now: Duration, session: SessionId) -> Vec<Action> {
-    let request = Request::Start { database: "db".to_owned() };
+    let request = Request::Start { database: "db".to_owned(), key: None };
     router.step(now, Event::ClientRequest(session, request))
 }
 
--- a/crates/router/tests/histories/clients.rs
+++ b/crates/router/tests/histories/clients.rs
@@ -37,7 +37,7 @@
 impl Client {
     pub fn new(world: &mut World, node: usize, session: SessionId) -> Client {
         world.handle_event(node, Event::ClientConnected(session));
-        world.request(node, session, Request::Start { database: "db".to_owned() });
+        world.request(node, session, Request::Start { database: "db".to_owned(), key: None });
         Client {
             node,
             session,
--- a/crates/router/tests/histories/world.rs
+++ b/crates/router/tests/histories/world.rs
@@ -409,7 +409,7 @@
             Action::Reply(session, answer) => {
                 self.replies.push(Reply { node, session, answer });
             }
-            Action::Connect { connection, entry } => self.connect(node, connection, &entry),
+            Action::Connect { connection, entry, .. } => self.connect(node, connection, &entry),
             Action::SendCommands(id, commands) => {
                 if let Some(connection) = self.nodes[node].connections.get_mut(&id) {
                     connection.to_endpoint.push_back((now + ONE_WAY_DELAY, commands));
@@ -529,6 +529,7 @@
         regions: [("near".to_owned(), "region".to_owned())].into(),
         drain_timeout: Duration::from_secs(7),
         stop_timeout: Duration::from_secs(6),
+        has_customers: false,
     };
     let mut router = Router::new(settings, index as u64 + 1, START);
     let route = Route {
@@ -537,12 +538,14 @@
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(400),
         priority: 1,
+        is_public: false,
     };
     let configuration = Configuration {
         version: 1,
         routes: [("db".to_owned(), route)].into(),
         services: vec![Service { name: SERVICE.into(), connections: 76 }],
         transaction_idle: Duration::from_secs(3),
+        customers: None,
     };
     let peer = Peer {
         name: format!("node-{index}").into(),
--- a/crates/router/tests/load.rs
+++ b/crates/router/tests/load.rs
@@ -41,6 +41,7 @@
             regions: HashMap::from([("a".to_owned(), "x".to_owned())]),
             drain_timeout: Duration::from_secs(7),
             stop_timeout: Duration::from_secs(6),
+            has_customers: false,
         };
         let route = Route {
             service: "s".into(),
@@ -48,12 +49,14 @@
             timeout: Duration::from_millis(800),
             objective: Duration::from_millis(300),
             priority: 1,
+            is_public: false,
         };
         let configuration = Configuration {
             version: 1,
             routes: HashMap::from([("db".to_owned(), route)]),
             services: vec![Service { name: "s".into(), connections: 76 }],
             transaction_idle: Duration::from_secs(3),
+            customers: None,
         };
         let entry = |id: &str, role| Entry {
             id: id.into(),
@@ -92,7 +95,7 @@
     fn handle(&mut self, event: Event) {
         for action in self.router.step(self.now, event) {
             match action {
-                Action::Connect { connection, entry } => {
+                Action::Connect { connection, entry, .. } => {
                     if entry.role == Role::Primary {
                         self.primary_connections.push(connection);
                     }
@@ -150,7 +153,10 @@
 
     fn send_statement(&mut self, session: u64, statement: Statement) {
         self.handle(Event::ClientConnected(session));
-        self.handle(Event::ClientRequest(session, Request::Start { database: "db".to_owned() }));
+        self.handle(Event::ClientRequest(
+            session,
+            Request::Start { database: "db".to_owned(), key: None },
+        ));
         let id = format!("s{session}");
         self.handle(Event::ClientRequest(
             session,
--- a/crates/router/tests/many_services.rs
+++ b/crates/router/tests/many_services.rs
@@ -38,7 +38,7 @@
     node.run_for(Duration::from_secs(3));
     assert_eq!(node.connections.len(), 0);
     node.step(Event::ClientConnected(1));
-    node.step(Event::ClientRequest(1, Request::Start { database: "db7".to_owned() }));
+    node.step(Event::ClientRequest(1, Request::Start { database: "db7".to_owned(), key: None }));
     send(&mut node, 1, "1");
     let elapsed = time_to_reply(&mut node, 1);
     assert!(elapsed <= Duration::from_millis(300), "answered after {elapsed:?}");
@@ -51,7 +51,7 @@
     let mut node = Node::new(1, SERVICES);
     node.run_for(Duration::from_secs(1));
     node.step(Event::ClientConnected(1));
-    node.step(Event::ClientRequest(1, Request::Start { database: "db7".to_owned() }));
+    node.step(Event::ClientRequest(1, Request::Start { database: "db7".to_owned(), key: None }));
     send(&mut node, 1, "1");
     time_to_reply(&mut node, 1);
     node.lose(Some(Role::Primary));
--- a/crates/router/tests/membership.rs
+++ b/crates/router/tests/membership.rs
@@ -9,7 +9,7 @@
 };
 use tamarackbend_router::message::{Request, SessionId};
 use tamarackbend_router::settings::Settings;
-use tamarackbend_router::{Action, ConnectionLoss, Event, Router};
+use tamarackbend_router::{Action, ConnectionLoss, Event, Introduction, Router};
 
 const START: Duration = Duration::from_secs(50);
 const DOMAINS: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
@@ -99,6 +99,7 @@
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(400),
         priority: 1,
+        is_public: false,
     };
     Configuration {
         version: 1,
@@ -107,6 +108,7 @@
             .map(|index| Service { name: format!("s{index}").into(), connections: 144 })
             .collect(),
         transaction_idle: Duration::from_secs(3),
+        customers: None,
     }
 }
 
@@ -123,6 +125,7 @@
         regions: HashMap::from([("a".to_owned(), "x".to_owned())]),
         drain_timeout: Duration::from_secs(10),
         stop_timeout: Duration::from_secs(6),
+        has_customers: false,
     };
     let mut router = Router::new(settings, 1, START);
     router.step(START, Event::PeersChanged(fleet));
@@ -136,7 +139,7 @@
 
 fn start(router: &mut Router, connected: Event, id: SessionId, database: &str) -> Vec<Action> {
     router.step(START, connected);
-    let request = Request::Start { database: database.to_owned() };
+    let request = Request::Start { database: database.to_owned(), key: None };
     router.step(START, Event::ClientRequest(id, request))
 }
 
@@ -155,7 +158,7 @@
 #[test]
 fn pooler_serves_every_channel_itself() {
     let (mut router, _, other) = pooler();
-    let actions = start(&mut router, Event::ChannelAccepted(1), 1, &other);
+    let actions = start(&mut router, Event::ChannelAccepted(1, Introduction::default()), 1, &other);
     assert!(actions.contains(&Action::AcceptSession(1)), "{actions:?}");
 }
 
--- a/crates/router/tests/peers.rs
+++ b/crates/router/tests/peers.rs
@@ -43,6 +43,7 @@
         ]),
         drain_timeout: Duration::from_secs(7),
         stop_timeout: Duration::from_secs(6),
+        has_customers: false,
     };
     Router::new(settings, 1, START)
 }
@@ -58,7 +59,7 @@
 /// Opens a session; returns the channel that the session waits for, and the channel's node.
 fn start(router: &mut Router, session: u64, now: Duration) -> (ConnectionId, String) {
     router.step(now, Event::ClientConnected(session));
-    let request = Request::Start { database: "db".to_owned() };
+    let request = Request::Start { database: "db".to_owned(), key: None };
     let actions = router.step(now, Event::ClientRequest(session, request));
     let opened = actions.into_iter().find_map(|action| match action {
         Action::OpenChannel { connection, entry, .. } => Some((connection, entry.id.to_string())),
@@ -224,7 +225,7 @@
     router.step(START, Event::Stop);
     let now = START + Duration::from_millis(2400);
     router.step(now, Event::ClientConnected(1));
-    let request = Request::Start { database: "db".to_owned() };
+    let request = Request::Start { database: "db".to_owned(), key: None };
     let actions = router.step(now, Event::ClientRequest(1, request));
     assert!(matches!(&actions[..], [Action::RejectSession(1, _)]), "{actions:?}");
 }
@@ -266,7 +267,7 @@
 fn sessions_wait_until_the_fleet_is_known() {
     let mut router = router("weak-a-3");
     router.step(START, Event::ClientConnected(1));
-    let request = Request::Start { database: "db".to_owned() };
+    let request = Request::Start { database: "db".to_owned(), key: None };
     assert_eq!(router.step(START, Event::ClientRequest(1, request)), []);
     router.step(START + Duration::from_millis(100), Event::PeersChanged(fleet()));
     let actions = router.step(START + Duration::from_millis(115), Event::Tick);
@@ -317,7 +318,7 @@
     let mut accepted_after_ms = None;
     let mut tried_nodes = std::collections::BTreeSet::new();
     router.step(START, Event::ClientConnected(1));
-    let request = Request::Start { database: "db".to_owned() };
+    let request = Request::Start { database: "db".to_owned(), key: None };
     let mut actions = router.step(START, Event::ClientRequest(1, request));
     for step in 1..100 {
         // Of the four poolers, only the last to be tried answers.
@@ -350,7 +351,7 @@
     for session in 2..40 {
         unknown = format!("unknown-{session}");
         router.step(START, Event::ClientConnected(session));
-        let request = Request::Start { database: unknown.clone() };
+        let request = Request::Start { database: unknown.clone(), key: None };
         let actions = router.step(START, Event::ClientRequest(session, request));
         if opened_channels(&actions).iter().any(|(_, other)| *other == node) {
             break;
@@ -383,7 +384,7 @@
         let session_starts = step > 60 && step % 20 == 0;
         if session_starts {
             router.step(now, Event::ClientConnected(step));
-            let request = Request::Start { database: "db".to_owned() };
+            let request = Request::Start { database: "db".to_owned(), key: None };
             actions.extend(router.step(now, Event::ClientRequest(step, request)));
         }
         let mut next = 0;
--- a/crates/router/tests/unknown_databases.rs
+++ b/crates/router/tests/unknown_databases.rs
@@ -18,12 +18,14 @@
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(400),
         priority: 1,
+        is_public: false,
     };
     Configuration {
         version,
         routes: databases.iter().map(|name| ((*name).to_owned(), route.clone())).collect(),
         services: Vec::new(),
         transaction_idle: Duration::from_secs(3),
+        customers: None,
     }
 }
 
@@ -35,6 +37,7 @@
         regions: HashMap::new(),
         drain_timeout: Duration::from_secs(7),
         stop_timeout: Duration::from_secs(6),
+        has_customers: false,
     };
     let mut router = Router::new(settings, 1, START);
     let peer = Peer {
@@ -50,7 +53,10 @@
 
 fn start(router: &mut Router, now: Duration, id: SessionId, database: &str) -> Vec<Action> {
     router.step(now, Event::ClientConnected(id));
-    router.step(now, Event::ClientRequest(id, Request::Start { database: database.to_owned() }))
+    router.step(
+        now,
+        Event::ClientRequest(id, Request::Start { database: database.to_owned(), key: None }),
+    )
 }
 
 /// Guards against a read of the configuration for every session of an unknown database: clients that
