Identify clients by key, serve each customer at few poolers, and revoke keys

A session is bound to the customer of its key; an unknown key is refused with NOAUTH. Remote groups are kept by database and key, so that sessions of different keys share no channel. The poolers of a customer are two of each region, by rendezvous hashing of its name, which keeps its connections to endpoints on few nodes. Connections to endpoints carry the work of one customer; at the limit, the one that has been idle for longest is closed for another customer.

A pooler reports the version of its configuration before it accepts or refuses a channel. One that is older than what the node has seen reads the configuration anew, and its refusals for an unknown database or key do not count.

--- a/crates/gateway/src/channel.rs
+++ b/crates/gateway/src/channel.rs
@@ -3,16 +3,16 @@
 //! A channel is one multiplexed session on a link between two nodes.
 
 use bytes::Bytes;
-use tamarackbend_router::Introduction;
 use tamarackbend_router::customer::KeyDigest;
 use tamarackbend_router::message::{
-    Access, Answer, Command, Fault, Order, Outcome, Position, Request, Statement, TransactionState,
+    Access, Answer, Command, Fault, Introduction, Order, Outcome, Position, Request, Statement,
+    TransactionState,
 };
 use tamarackbend_wire::channel::{self, Call, Frame, Kind, Open, Reply, frame::Body};
 
 /// Numbers that stand for faults in frames; zero stands for any other fault, which is sent as a
 /// word.
-const FAULT_NUMBERS: [(u32, Fault); 14] = [
+const FAULT_NUMBERS: [(u32, Fault); 15] = [
     (1, Fault::Busy),
     (2, Fault::Lagging),
     (3, Fault::ReadOnly),
@@ -27,6 +27,7 @@
     (12, Fault::Aborted),
     (13, Fault::InDoubt),
     (14, Fault::Unauthorized),
+    (15, Fault::OverLimit),
 ];
 
 /// Returns a frame with `body` for `channel`; channel zero addresses the link itself.
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -5,8 +5,8 @@
 use futures_channel::mpsc::UnboundedReceiver;
 use futures_util::StreamExt;
 use tamarackbend_net::{Reader, Writer, split};
-use tamarackbend_router::message::{Answer, Request, SessionId};
-use tamarackbend_router::{Event, Introduction};
+use tamarackbend_router::Event;
+use tamarackbend_router::message::{Answer, Introduction, Request, SessionId};
 
 use crate::{Events, Protocol};
 
--- a/crates/router/src/connection.rs
+++ b/crates/router/src/connection.rs
@@ -6,6 +6,7 @@
 
 use std::collections::{HashSet, VecDeque};
 
+use crate::customer::CustomerName;
 use crate::message::{
     Command, ConnectionId, EndpointId, Order, ServiceName, SessionId, Statement, Time,
 };
@@ -23,6 +24,11 @@
     pub service: ServiceName,
     /// The endpoint.
     pub endpoint: EndpointId,
+    /// Customer whose work the connection carries; none for channels, and if clients are not
+    /// identified.
+    pub customer: Option<CustomerName>,
+    /// Version of the configuration that the node at the other end of a channel reported.
+    pub peer_version: u64,
     /// When the connection was requested.
     pub requested_at: Time,
     /// Whether the endpoint has accepted the connection.
@@ -80,6 +86,8 @@
             id,
             service,
             endpoint,
+            customer: None,
+            peer_version: 0,
             requested_at: now,
             is_established: false,
             transaction_session: None,
@@ -90,6 +98,12 @@
         }
     }
 
+    /// Sets the customer whose work the connection carries.
+    pub fn with_customer(mut self, customer: Option<CustomerName>) -> Connection {
+        self.customer = customer;
+        self
+    }
+
     /// Returns whether another session's statement may be sent over the connection.
     pub fn is_free(&self) -> bool {
         self.is_established && self.transaction_session.is_none() && self.unanswered.is_empty()
--- a/crates/router/src/group.rs
+++ b/crates/router/src/group.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 
 use crate::admission::retry::Crowd;
+use crate::customer::{CustomerName, KeyDigest};
 use crate::endpoint::Endpoint;
 use crate::evidence::{Evidence, Sample};
 use crate::failover::{Ballot, Failover};
@@ -48,6 +49,10 @@
 pub struct Group {
     /// Whether the endpoints are poolers that serve the database for this node.
     pub is_remote: bool,
+    /// Key of the sessions of a remote group, if clients are identified.
+    pub key: Option<KeyDigest>,
+    /// Customer that the key belongs to, once a pooler has reported it.
+    pub customer: Option<CustomerName>,
     /// Connections that one endpoint accepts from all nodes together.
     pub max_connections: u32,
     /// Endpoints.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -37,6 +37,4 @@
 pub mod session;
 pub mod settings;
 
-pub use router::{
-    Action, ConnectionLoss, Event, FetchResult, Introduction, Router, WatchScope, WriteResult,
-};
+pub use router::{Action, ConnectionLoss, Event, FetchResult, Router, WatchScope, WriteResult};
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -9,7 +9,7 @@
 //! Two nodes may see different fleets for a while; there are then a few more or fewer poolers, which
 //! affects the number of connections but not consistency.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
 use crate::message::EndpointId;
@@ -28,6 +28,10 @@
 /// nodes use, and the one that takes its place.
 pub const POOLERS_PER_DATABASE: usize = 2;
 
+/// Poolers of a region that serve one customer: the one that the region's nodes use, and the one that
+/// takes its place.
+pub const POOLERS_PER_CUSTOMER: usize = 2;
+
 /// Node of the fleet, as announced by itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peer {
@@ -116,6 +120,29 @@
     first_ranks.collect()
 }
 
+/// Returns the poolers that serve `customer`: in each region the first ranks, in the order in which they
+/// are used.
+///
+/// The connections of a customer, and the account of what it may ask, are so kept in few places.
+pub fn customer_poolers<'a>(
+    poolers: &'a [Peer],
+    regions: &HashMap<String, String>,
+    customer: &str,
+) -> Vec<&'a Peer> {
+    let mut by_region: BTreeMap<&str, Vec<&Peer>> = BTreeMap::new();
+    for peer in poolers {
+        let domain = peer.failure_domain.as_str();
+        let region = regions.get(domain).map_or(domain, String::as_str);
+        by_region.entry(region).or_default().push(peer);
+    }
+    let first_ranks = by_region.into_values().flat_map(|mut region| {
+        region.sort_by_cached_key(|peer| (rank(peer, customer, 0), &peer.name));
+        region.truncate(POOLERS_PER_CUSTOMER);
+        region
+    });
+    first_ranks.collect()
+}
+
 /// Returns whether `node` is one of the poolers that hold connections for `database`.
 pub fn is_responsible(poolers: &[Peer], node: &str, database: &str) -> bool {
     let Some(own) = poolers.iter().find(|peer| *peer.name == *node) else { return false };
--- a/crates/router/src/message.rs
+++ b/crates/router/src/message.rs
@@ -7,7 +7,7 @@
 use tamarackbend_policy::code;
 pub use tamarackbend_policy::position::{Role, Term};
 
-use crate::customer::KeyDigest;
+use crate::customer::{CustomerName, KeyDigest};
 
 /// Time since the VM's start, suspension included.
 pub type Time = Duration;
@@ -35,6 +35,15 @@
     }
 }
 
+/// What a node knows of the configuration and of a channel's customer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Introduction {
+    /// Highest version of the configuration that the node has or was told of; zero if none.
+    pub version: u64,
+    /// Customer that the channel's key belongs to, if known.
+    pub customer: Option<CustomerName>,
+}
+
 /// Whether a statement reads or writes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Access {
@@ -215,6 +224,8 @@
     ReadOnly,
     /// Not run: the statement reached the wrong endpoint.
     Misrouted,
+    /// Not run: the customer is over its limit. Another endpoint would refuse it as well.
+    OverLimit,
     /// Not run: too many connections.
     TooMany,
     /// Not run: the prepared statement does not exist.
--- a/crates/router/src/router/answers.rs
+++ b/crates/router/src/router/answers.rs
@@ -14,8 +14,8 @@
 use crate::evidence::Sample;
 use crate::group::{PendingAnswer, StatusEffect};
 use crate::message::{
-    Access, Answer, ConnectionId, EndpointId, Fault, Order, Position, ServiceName, SessionId,
-    Statement, Time, TransactionState,
+    Access, Answer, ConnectionId, EndpointId, Fault, Order, Outcome, Position, ServiceName,
+    SessionId, Statement, Time, TransactionState,
 };
 use crate::session::{Need, Phase, Stage};
 use crate::settings::{BUSY_PAUSE, LAGGING_PAUSE, RECONNECT_PAUSE};
@@ -126,6 +126,13 @@
             }
             return;
         };
+        if matches!(fault, Fault::OverLimit | Fault::Unauthorized) {
+            if let Some(connection) = self.connections.get_mut(&origin.connection) {
+                connection.transaction_session = None;
+            }
+            self.refuse_transaction(id, answer.outcome.clone());
+            return;
+        }
         transaction.phase = Phase::Waiting;
         transaction.avoided_endpoints.push((origin.endpoint.clone(), now + avoidance_time(&fault)));
         if let Some(connection) = self.connections.get_mut(&origin.connection) {
@@ -135,6 +142,19 @@
         self.enqueue(&service, id);
     }
 
+    /// Fails a transaction whose begin was refused by the node that serves it.
+    fn refuse_transaction(&mut self, id: SessionId, refusal: Outcome) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let has_statement = session.current.is_some();
+        let Some(transaction) = &mut session.transaction else { return };
+        transaction.phase = Phase::Failed { is_reported: has_statement };
+        if has_statement {
+            self.reply_outcome(id, refusal);
+        } else {
+            transaction.refusal = Some(refusal);
+        }
+    }
+
     fn on_statement_answer(&mut self, origin: &Origin, id: SessionId, serial: u64, answer: Answer) {
         let now = self.now;
         let Some(session) = self.sessions.get_mut(&id) else { return };
--- a/crates/router/src/router/clients.rs
+++ b/crates/router/src/router/clients.rs
@@ -15,31 +15,17 @@
     SessionId, Statement, Time, TransactionState,
 };
 use crate::session::{Need, Operation, Phase, PreparedStatement, Stage, Transaction};
-use crate::settings::{
-    BALANCER_DRAIN_TIME, RETRY_AFTER_BUSY, RETRY_AFTER_NO_PRIMARY, SESSION_START_TIMEOUT,
-};
+use crate::settings::{RETRY_AFTER_BUSY, RETRY_AFTER_NO_PRIMARY};
 
-/// How long a session for an unknown database waits for the read of a newer configuration.
-const CONFIGURATION_WAIT: Time = Time::from_millis(400);
-/// How long such a session waits for the watch of the configuration to report a change that has just
-/// been made, if the configuration was read lately.
-const WATCH_DELAY: Time = Time::from_millis(60);
 /// Maximum number of requests of one session that are queued behind its current statement.
 const MAX_BACKLOG: usize = 32;
-/// Age up to which the last read of the configuration shows that a database does not exist. A watch
-/// that was lost unnoticed hides a new database for this long at most, which is less than
-/// configurations may take to be in force.
-const MAX_CONFIGURATION_AGE: Time = Time::from_secs(2);
-/// Minimum time between two requests for the configuration that unknown databases cause.
-const MIN_REFRESH_INTERVAL: Time = Time::from_millis(200);
-
 impl Router {
     pub(super) fn on_request(&mut self, id: SessionId, request: Request) {
         let now = self.now;
         let Some(session) = self.sessions.get_mut(&id) else { return };
         session.last_active_at = now;
         match request {
-            Request::Start { database, key: _ } => self.start_session(id, database),
+            Request::Start { database, key } => self.start_session(id, database, key),
             Request::End => {
                 self.close_session(id);
                 self.actions.push(Action::CloseSession(id));
@@ -90,110 +76,16 @@
         }
     }
 
-    fn start_session(&mut self, id: SessionId, database: String) {
-        let now = self.now;
-        let is_known = self.route(&database).is_some();
-        let Some(session) = self.sessions.get_mut(&id) else { return };
-        if session.database.is_some() {
-            self.reject_session(id, Fault::Malformed, Code::BadMessage);
-            return;
-        }
-        session.database = Some(database.clone());
-        let is_channel = session.is_channel;
-        if self.stopping_since.is_some_and(|since| now >= since + BALANCER_DRAIN_TIME) {
-            self.reject_session(id, Fault::Busy, Code::Draining);
-            return;
-        }
-        let is_remote = !is_channel && !self.serves_clients_of(&database);
-        if self.is_pooler == Some(false) || (self.is_pooler == Some(true) && is_remote) {
-            self.start_remote_session(id, &database);
-            return;
-        }
-        if self.is_role_undecided() {
-            self.starting_sessions.push((id, now));
-            return;
-        }
-        if is_known {
-            self.accept_session(id);
+    fn handle_statement(&mut self, id: SessionId, statement_id: String, statement: Statement) {
+        if self.refuse_revoked(id) {
             return;
         }
-        // A configuration that the operator has just applied may name the database.
-        self.starting_sessions.push((id, now));
-        let may_request = self.refreshed_at.is_none_or(|at| now >= at + MIN_REFRESH_INTERVAL);
-        if self.configuration.is_some() && may_request && !self.is_configuration_recent(now) {
-            self.refreshed_at = Some(now);
-            self.actions.push(Action::RefreshConfiguration);
-        }
-    }
-
-    /// Accepts or rejects the sessions that wait for their database to become known.
-    ///
-    /// `is_fresh` is set when a newer configuration has just been read.
-    pub(super) fn resolve_starting_sessions(&mut self, is_fresh: bool) {
-        for (id, started_at) in std::mem::take(&mut self.starting_sessions) {
-            let Some(session) = self.sessions.get(&id) else { continue };
-            let is_channel = session.is_channel;
-            let database = session.database.clone().unwrap_or_default();
-            let is_remote = match self.is_pooler {
-                Some(true) => !is_channel && !self.serves_clients_of(&database),
-                Some(false) => true,
-                None => false,
-            };
-            if self.is_role_undecided() && self.now < started_at + SESSION_START_TIMEOUT {
-                self.starting_sessions.push((id, started_at));
-            } else if !is_remote && self.route(&database).is_some() {
-                self.accept_session(id);
-            } else if is_remote {
-                self.start_remote_session(id, &database);
-            } else if self.configuration.is_none() {
-                match self.now >= started_at + SESSION_START_TIMEOUT {
-                    true => self.reject_session(id, Fault::Busy, Code::OwnerUnreachable),
-                    false => self.starting_sessions.push((id, started_at)),
-                }
-            } else if self.now >= started_at + CONFIGURATION_WAIT
-                || (is_fresh && self.now > started_at)
-                || (self.is_configuration_recent(started_at)
-                    && self.now >= started_at + WATCH_DELAY)
-            {
-                self.reject_session(id, Fault::NoDatabase, Code::NoSuchDatabase);
-            } else {
-                self.starting_sessions.push((id, started_at));
-            }
-        }
-    }
-
-    /// Returns whether the configuration that the node has at `time` was read shortly before.
-    fn is_configuration_recent(&self, time: Time) -> bool {
-        self.configuration_read_at
-            .is_some_and(|read_at| read_at <= time && time < read_at + MAX_CONFIGURATION_AGE)
-    }
-
-    pub(super) fn accept_session(&mut self, id: SessionId) {
-        if let Some(session) = self.sessions.get_mut(&id) {
-            session.is_accepted = true;
-            self.actions.push(Action::AcceptSession(id));
-        }
-    }
-
-    pub(super) fn reject_session(&mut self, id: SessionId, fault: Fault, code: Code) {
-        let outcome = Outcome::refusal(fault, code, None);
-        let answer = Answer {
-            rows: Vec::new(),
-            outcome,
-            state: TransactionState::Idle,
-            position: None,
-            status: None,
-        };
-        self.close_session(id);
-        self.actions.push(Action::RejectSession(id, answer));
-    }
-
-    fn handle_statement(&mut self, id: SessionId, statement_id: String, statement: Statement) {
         let Some(session) = self.sessions.get_mut(&id) else { return };
         if let Some(transaction) = &mut session.transaction
             && let Phase::Failed { is_reported } = &mut transaction.phase
         {
             let is_first = !std::mem::replace(is_reported, true);
+            let refusal = transaction.refusal.take();
             match statement {
                 Statement::Rollback => {
                     session.transaction = None;
@@ -203,7 +95,10 @@
                     session.transaction = None;
                     self.refuse(id, Fault::Aborted, Code::TransactionLost, None);
                 }
-                _ if is_first => self.refuse(id, Fault::Aborted, Code::TransactionLost, None),
+                _ if is_first => match refusal {
+                    Some(refusal) => self.reply_outcome(id, refusal),
+                    None => self.refuse(id, Fault::Aborted, Code::TransactionLost, None),
+                },
                 _ => self.refuse(id, Fault::Malformed, Code::TransactionLost, None),
             }
             return;
@@ -272,6 +167,7 @@
             began_at_floor: false,
             phase: Phase::Waiting,
             has_written: false,
+            refusal: None,
             avoided_endpoints: Vec::new(),
         });
         self.enqueue(&service, id);
--- a/crates/router/src/router/dispatch.rs
+++ b/crates/router/src/router/dispatch.rs
@@ -4,10 +4,13 @@
 //! enough. In a remote group, whose endpoints are other nodes, work goes to the node that ranks
 //! best.
 
+use metrics::counter;
+
 use super::Router;
 use super::clients::staleness_bound;
 use crate::configuration::Consistency;
 use crate::connection::Purpose;
+use crate::customer::CustomerName;
 use crate::endpoint::Endpoint;
 use crate::group::Group;
 use crate::message::{
@@ -16,7 +19,8 @@
 };
 use crate::session::{Need, Phase, Session, Stage};
 use crate::settings::{
-    MAX_CONNECTION_SHARE, MAX_CONNECTIONS_PER_ENDPOINT, MIN_CONNECTIONS_PER_ENDPOINT,
+    MAX_CONNECTION_SHARE, MAX_CONNECTIONS_PER_ENDPOINT, MAX_CUSTOMER_CONNECTIONS_PER_ENDPOINT,
+    MIN_CONNECTIONS_PER_ENDPOINT,
 };
 
 /// Added to the cost of the primary for reads that replicas can also serve, which keeps its
@@ -37,6 +41,12 @@
 /// endpoint is tried again.
 const MAX_RESPONSE_AGE: Time = Time::from_millis(1000);
 
+/// Connections to one endpoint that a node opens at once: each takes a slot of the endpoint.
+const MAX_OPENING_CONNECTIONS: usize = 3;
+/// Time without work after which a connection may be closed for another customer. Work that waited for
+/// the connection would have been placed by then.
+const MIN_CONNECTION_IDLE: Time = Time::from_millis(5);
+
 impl Router {
     /// Places the waiting work of all groups that changed, the most urgent first.
     pub(super) fn dispatch_all(&mut self) {
@@ -148,11 +158,9 @@
         };
         let Some(connection) = self.choose_connection(service, need, session, &is_avoided, true)
         else {
-            self.open_best_connection(
-                service,
-                need,
-                &avoided_at(&transaction.avoided_endpoints, now),
-            );
+            let avoided = avoided_at(&transaction.avoided_endpoints, now);
+            let customer = session.customer.clone();
+            self.open_best_connection(service, need, &avoided, customer);
             return Placement::StillWaiting;
         };
         let is_read_only =
@@ -219,6 +227,7 @@
         let chosen_connection = self.choose_connection(service, need, session, &is_avoided, false);
         let is_remote = self.is_remote(service);
         let avoided = avoided_at(&operation.avoided_endpoints, now);
+        let customer = session.customer.clone();
         let Some(operation) = self.sessions.get_mut(&id).and_then(|s| s.current.as_mut()) else {
             return Placement::Done;
         };
@@ -228,7 +237,7 @@
                 self.abandon_statement(id);
                 return Placement::Done;
             }
-            self.open_best_connection(service, need, &avoided);
+            self.open_best_connection(service, need, &avoided, customer);
             return Placement::StillWaiting;
         };
         operation.stage = Stage::Sent { connection, sent_at: now };
@@ -339,7 +348,8 @@
                     continue;
                 }
             }
-            let free_connections = connections.filter(|c| c.is_free());
+            let free_connections = connections
+                .filter(|c| c.is_free() && (group.is_remote || c.customer == session.customer));
             if let Some(connection) = free_connections.min_by_key(|c| c.setup_cost(&session.values))
             {
                 return Some(connection.id);
@@ -461,19 +471,27 @@
         service: &ServiceName,
         need: Need,
         avoided: &[EndpointId],
+        customer: Option<CustomerName>,
     ) {
         let Some(group) = self.groups.get(service) else { return };
         let candidates = self.candidates(group, need, &|id| avoided.contains(id));
         let Some(best_endpoint) = candidates.into_iter().next() else { return };
         let limit = self.max_connections(group);
-        self.open_connection(service, &best_endpoint, limit);
+        match self.settings.has_customers && !self.is_remote(service) {
+            true => self.open_customer_connection(service, &best_endpoint, limit, customer),
+            false => self.open_connection(service, &best_endpoint, limit),
+        }
     }
 
     /// Returns the maximum number of connections of this node to one endpoint of a group.
     pub(super) fn max_connections(&self, group: &Group) -> usize {
         let share = f64::from(group.max_connections) * MAX_CONNECTION_SHARE
             / self.holder_count.max(1) as f64;
-        (share as usize).clamp(MIN_CONNECTIONS_PER_ENDPOINT, MAX_CONNECTIONS_PER_ENDPOINT)
+        let max = match self.settings.has_customers {
+            true => MAX_CUSTOMER_CONNECTIONS_PER_ENDPOINT,
+            false => MAX_CONNECTIONS_PER_ENDPOINT,
+        };
+        (share as usize).clamp(MIN_CONNECTIONS_PER_ENDPOINT, max)
     }
 
     /// Opens a connection to an endpoint unless another is being opened or the limit is reached.
@@ -494,7 +512,41 @@
         if has_enough {
             return;
         }
-        self.connect(service, id);
+        self.connect(service, id, None);
+    }
+
+    /// Opens a connection to an endpoint for the work of a customer, and closes one of another customer
+    /// if the limit is reached. One connection of each customer is opened at a time.
+    fn open_customer_connection(
+        &mut self,
+        service: &ServiceName,
+        id: &EndpointId,
+        limit: usize,
+        customer: Option<CustomerName>,
+    ) {
+        let Some(group) = self.groups.get(service) else { return };
+        let Some(endpoint) = group.endpoints.get(id) else { return };
+        let may_connect = !self.is_role_undecided() && self.is_pooler != Some(false);
+        let opening = self.connections_to(endpoint).filter(|c| !c.is_established);
+        let is_opening = opening.clone().any(|c| c.customer == customer);
+        if self.now < endpoint.connect_after
+            || !may_connect
+            || is_opening
+            || opening.count() >= MAX_OPENING_CONNECTIONS
+        {
+            return;
+        }
+        if endpoint.connections.len() >= limit {
+            let free = self.connections_to(endpoint).filter(|c| {
+                c.is_free()
+                    && c.customer != customer
+                    && self.now >= c.last_answer_at + MIN_CONNECTION_IDLE
+            });
+            let Some(idle) = free.min_by_key(|c| c.last_answer_at).map(|c| c.id) else { return };
+            counter!("connections_closed_for_other_customers_total").increment(1);
+            self.disconnect(idle, "another customer needs the connection");
+        }
+        self.connect(service, id, customer);
     }
 }
 
--- a/crates/router/src/router/losses.rs
+++ b/crates/router/src/router/losses.rs
@@ -17,6 +17,10 @@
 /// connections.
 const TOO_MANY_CONNECTIONS_PAUSE: Time = Time::from_millis(500);
 
+/// Time before another channel is opened to a node that serves other customers: its view of the fleet
+/// differs for a moment.
+const MISROUTED_PAUSE: Time = Time::from_millis(20);
+
 impl Router {
     pub(super) fn on_connection_lost(&mut self, id: ConnectionId, loss: &ConnectionLoss) {
         let now = self.now;
@@ -27,9 +31,10 @@
             connection = id, endpoint = %endpoint_id, ready = is_established, ?loss,
             "connection was lost or refused"
         );
-        if *loss == ConnectionLoss::Refused(Fault::NoDatabase) {
-            self.drop_connection(id);
-            self.reject_unknown_database(&service);
+        if let ConnectionLoss::Refused(fault) = loss
+            && self.is_remote(&service)
+            && self.on_channel_refused(id, fault)
+        {
             return;
         }
         if let Some(group) = self.groups.get_mut(&service) {
@@ -57,6 +62,36 @@
         }
     }
 
+    /// Handles the refusal of a channel for its database or key, or because other nodes serve the
+    /// customer. Returns whether the node that refused the channel counts as alive.
+    fn on_channel_refused(&mut self, id: ConnectionId, fault: &Fault) -> bool {
+        let now = self.now;
+        let Some(connection) = self.connections.get(&id) else { return false };
+        let (service, peer) = (connection.service.clone(), connection.endpoint.clone());
+        let is_outdated = connection.peer_version < self.seen_version;
+        match fault {
+            Fault::NoDatabase | Fault::Unauthorized if !is_outdated => {
+                self.drop_connection(id);
+                self.reject_unknown(&service, fault);
+            }
+            // Another node may have a newer configuration.
+            Fault::NoDatabase | Fault::Unauthorized => {
+                self.drop_connection(id);
+                if let Some(endpoint) = self.endpoint_mut(&service, &peer) {
+                    endpoint.record_failure(now);
+                }
+            }
+            Fault::Misrouted => {
+                self.drop_connection(id);
+                if let Some(endpoint) = self.endpoint_mut(&service, &peer) {
+                    endpoint.connect_after = now + MISROUTED_PAUSE;
+                }
+            }
+            _ => return false,
+        }
+        true
+    }
+
     /// Removes a closed channel and queues the statements again that were sent over it without an
     /// answer. Such a channel has no open transaction.
     fn requeue_unrun(&mut self, id: ConnectionId) {
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -3,7 +3,8 @@
 //! [`Router::step`] applies an [`Event`] to the state and returns the [`Action`]s to carry out. The
 //! other modules handle the events:
 //!
-//! - `clients`: client requests and sessions
+//! - `starting`, `clients`: start of sessions, and client requests
+//! - `customers`: identification of clients by their keys
 //! - `dispatch`: placement of waiting work on endpoints and connections
 //! - `answers`, `losses`: answers of endpoints and lost connections
 //! - `probes`: periodic work, failure detection and evidence for the primary
@@ -14,6 +15,7 @@
 
 mod answers;
 mod clients;
+mod customers;
 mod dispatch;
 mod dump;
 mod lease;
@@ -22,6 +24,7 @@
 mod probes;
 mod promotion;
 mod record;
+mod starting;
 mod stopping;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -38,8 +41,8 @@
 use crate::group::Group;
 use crate::membership::{MAX_DIRECT_FLEET_NODES, Peer};
 use crate::message::{
-    Answer, Command, ConnectionId, EndpointId, Fault, Position, Request, Role, ServiceName,
-    SessionId, Time,
+    Answer, Command, ConnectionId, EndpointId, Fault, Introduction, Position, Request, Role,
+    ServiceName, SessionId, Time,
 };
 use crate::revision::{Era, Revision};
 use crate::session::Session;
@@ -138,15 +141,6 @@
     ClientsOfPeers,
 }
 
-/// What a node knows of the configuration and of a channel's customer.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Introduction {
-    /// Highest version of the configuration that the node has or was told of; zero if none.
-    pub version: u64,
-    /// Customer that the channel's key belongs to, if known.
-    pub customer: Option<CustomerName>,
-}
-
 /// Action that a router asks its node to carry out.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -255,6 +249,8 @@
     refreshed_at: Option<Time>,
     /// When the configuration was last read, changed or not.
     configuration_read_at: Option<Time>,
+    /// Highest version of the configuration that this node has had or was told of.
+    seen_version: u64,
     lease: lease::State,
     store_unreachable_since: Option<Time>,
     stopping_since: Option<Time>,
@@ -288,6 +284,7 @@
             dirty: BTreeSet::new(),
             refreshed_at: None,
             configuration_read_at: None,
+            seen_version: 0,
             lease: lease::State::new(incarnation),
             store_unreachable_since: None,
             stopping_since: None,
@@ -302,10 +299,12 @@
             Event::ClientConnected(session) => {
                 self.sessions.insert(session, Session::new(now));
             }
-            Event::ChannelAccepted(session, _introduction) => {
-                self.sessions.insert(session, Session::new(now).with_channel());
+            Event::ChannelAccepted(session, introduction) => {
+                self.sessions.insert(session, Session::new(now).with_channel(introduction));
+            }
+            Event::ChannelIntroduced(connection, introduction) => {
+                self.on_introduction(connection, introduction)
             }
-            Event::ChannelIntroduced(..) => {}
             Event::ClientRequest(session, request) => self.on_request(session, request),
             Event::ClientDisconnected(session) => self.close_session(session),
             Event::EndpointConnected(connection, position) => {
@@ -402,8 +401,10 @@
             let group = self.groups.entry(service.name.clone()).or_default();
             group.max_connections = service.connections;
         }
+        self.seen_version = self.seen_version.max(configuration.version);
         self.configuration = Some(configuration);
         self.update_own_services();
+        self.identify_sessions();
         self.resolve_starting_sessions(true);
     }
 
@@ -513,14 +514,15 @@
         self.actions.push(Action::SendCommands(connection, sent));
     }
 
-    fn connect(&mut self, service: &ServiceName, id: &EndpointId) {
+    fn connect(&mut self, service: &ServiceName, id: &EndpointId, customer: Option<CustomerName>) {
         let Some(entry) = self.groups.get(service).and_then(|group| group.endpoints.get(id)) else {
             return;
         };
         let entry = entry.entry.clone();
         let connection = self.next_connection;
         self.next_connection += 1;
-        let state = Connection::new(connection, service.clone(), id.clone(), self.now);
+        let state = Connection::new(connection, service.clone(), id.clone(), self.now)
+            .with_customer(customer.clone());
         self.connections.insert(connection, state);
         if let Some(endpoint) = self.endpoint_mut(service, id) {
             endpoint.connections.push(connection);
@@ -528,10 +530,13 @@
         let action = match database_of(service) {
             Some(database) => {
                 let database = database.to_owned();
-                let introduction = Introduction::default();
-                Action::OpenChannel { connection, entry, database, key: None, introduction }
+                let group = self.groups.get(service);
+                let key = group.and_then(|group| group.key);
+                let customer = group.and_then(|group| group.customer.clone());
+                let introduction = Introduction { version: self.seen_version, customer };
+                Action::OpenChannel { connection, entry, database, key, introduction }
             }
-            None => Action::Connect { connection, entry, customer: None },
+            None => Action::Connect { connection, entry, customer },
         };
         self.actions.push(action);
     }
--- a/crates/router/src/router/peers.rs
+++ b/crates/router/src/router/peers.rs
@@ -14,6 +14,7 @@
 
 use super::{Action, Router, WatchScope};
 use crate::configuration::{Consistency, Route};
+use crate::customer::KeyDigest;
 use crate::directory::Entry;
 use crate::endpoint::Endpoint;
 use crate::group::Group;
@@ -26,6 +27,10 @@
 
 /// Prefix of the names of remote groups; names of services cannot have it.
 const REMOTE_PREFIX: &str = "\0peers/";
+/// Separates the database from the digest of the key in the name of a remote group.
+const KEY_SEPARATOR: char = '\0';
+/// Added to the rank of poolers of other regions, which are used only after all of the own region.
+const OTHER_REGION_RANK: u64 = 100;
 /// Time that a read of the list of nodes usually takes; most nodes learn from it that they need no
 /// watches of their own.
 const FLEET_READ_TIME: Time = Time::from_millis(120);
@@ -61,7 +66,8 @@
             );
         }
         self.peers = peers;
-        self.holder_count = match poolers.len() == self.peers.len() {
+        let serves_all_databases = poolers.len() == self.peers.len() || self.settings.has_customers;
+        self.holder_count = match serves_all_databases {
             true => poolers.len(),
             false => membership::poolers_of_database(&poolers),
         };
@@ -97,15 +103,18 @@
     /// Returns whether this node, as a pooler, serves its own clients of `database`, because it is
     /// responsible for the database or reaches no other pooler of its failure domain.
     pub(super) fn serves_clients_of(&self, database: &str) -> bool {
-        let has_failed = |peer: &Peer| {
-            let groups = self.groups.values().filter(|group| group.is_remote);
-            let mut endpoints = groups.filter_map(|group| group.endpoints.get(&peer.name));
-            endpoints.any(|endpoint| endpoint.suspected_since.is_some())
-        };
         let is_near = |peer: &&Peer| {
             peer.failure_domain == self.settings.failure_domain && *peer.name != *self.settings.node
         };
-        self.is_responsible(database) || self.poolers.iter().filter(is_near).all(has_failed)
+        self.is_responsible(database)
+            || self.poolers.iter().filter(is_near).all(|peer| self.has_failed(&peer.name))
+    }
+
+    /// Returns whether another node does not answer, as far as this node knows.
+    pub(super) fn has_failed(&self, node: &EndpointId) -> bool {
+        let groups = self.groups.values().filter(|group| group.is_remote);
+        let mut endpoints = groups.filter_map(|group| group.endpoints.get(node));
+        endpoints.any(|endpoint| endpoint.suspected_since.is_some())
     }
 
     /// Determines the services for which this node holds connections even before they are used.
@@ -155,11 +164,10 @@
     }
 
     /// Updates the nodes of a remote group to the fleet's current poolers.
-    fn update_remote_group(&mut self, service: &ServiceName) {
+    pub(super) fn update_remote_group(&mut self, service: &ServiceName) {
         let now = self.now;
-        let database = database_of(service).unwrap_or_default();
-        let poolers = membership::responsible_poolers(&self.poolers, database);
-        let poolers: Vec<Peer> = poolers.into_iter().cloned().collect();
+        let ranked_poolers = self.ranked_poolers(service);
+        let poolers: Vec<Peer> = ranked_poolers.iter().map(|(peer, _)| peer.clone()).collect();
         let Some(group) = self.groups.get(service) else { return };
         let removed: Vec<EndpointId> = group
             .endpoints
@@ -176,9 +184,8 @@
                 "the node no longer serves the database or has moved to another address",
             );
         }
-        for peer in poolers.iter().filter(|peer| *peer.name != *self.settings.node) {
+        for (peer, rank) in ranked_poolers {
             let expected_time = self.expected_read_time(&peer.failure_domain);
-            let rank = membership::rank(peer, database, expected_time.as_millis() as u64);
             let entry = Entry {
                 id: peer.name.clone(),
                 service: service.clone(),
@@ -198,11 +205,47 @@
         }
     }
 
+    /// Returns the other nodes that serve a remote group, each with its rank.
+    fn ranked_poolers(&self, service: &ServiceName) -> Vec<(Peer, (u64, u64))> {
+        let database = database_of(service).unwrap_or_default();
+        let group = self.groups.get(service);
+        let key = group.and_then(|group| group.key);
+        let mut ranked = Vec::new();
+        if let Some(key) = key {
+            // Until the customer is known, any pooler can report it.
+            let customer = group.and_then(|group| group.customer.clone());
+            let name = customer.unwrap_or_else(|| encode_hex(key.as_bytes()).into());
+            let own_region = self.settings.region_of(&self.settings.failure_domain);
+            let mut previous_region = None;
+            let mut place = 0;
+            for peer in self.poolers_of(&name) {
+                let region = self.settings.region_of(&peer.failure_domain);
+                place = if previous_region == Some(region) { place + 1 } else { 0 };
+                previous_region = Some(region);
+                let is_remote_region = u64::from(region != own_region);
+                let (_, hash) = membership::rank(peer, &name, 0);
+                let rank = (is_remote_region * OTHER_REGION_RANK + place, hash);
+                ranked.push((peer.clone(), rank));
+            }
+        } else {
+            for peer in membership::responsible_poolers(&self.poolers, database) {
+                let distance = self.expected_read_time(&peer.failure_domain).as_millis() as u64;
+                ranked.push((peer.clone(), membership::rank(peer, database, distance)));
+            }
+        }
+        ranked.retain(|(peer, _)| *peer.name != *self.settings.node);
+        ranked
+    }
+
     /// Starts a session that another node serves.
     pub(super) fn start_remote_session(&mut self, id: SessionId, database: &str) {
-        let service: ServiceName = Rc::from(format!("{REMOTE_PREFIX}{database}"));
+        let key = self.sessions.get(&id).and_then(|session| session.key);
+        let service = remote_service(database, key.as_ref());
         if !self.groups.contains_key(&service) {
-            let group = Group { is_remote: true, ..Group::default() };
+            let own_customer = key.and_then(|key| self.identify(&key));
+            let customer =
+                own_customer.or_else(|| key.and_then(|key| self.reported_customer(&key)));
+            let group = Group { is_remote: true, key, customer, ..Group::default() };
             self.groups.insert(service.clone(), group);
             self.update_remote_group(&service);
         }
@@ -224,13 +267,18 @@
             self.accept_session(id);
             return Placement::Done;
         }
-        self.open_best_connection(service, Need::Primary, &[]);
+        self.open_best_connection(service, Need::Primary, &[], None);
         Placement::StillWaiting
     }
 
-    /// Rejects the starting sessions of a database that the serving node does not know, and refuses
-    /// the statements that have not been sent. Statements that were sent may run at another node.
-    pub(super) fn reject_unknown_database(&mut self, service: &ServiceName) {
+    /// Rejects the starting sessions of a remote group whose database or key the serving node does not
+    /// know, and refuses the statements that have not been sent. Statements that were sent may run at
+    /// another node.
+    pub(super) fn reject_unknown(&mut self, service: &ServiceName, fault: &Fault) {
+        let code = match fault {
+            Fault::Unauthorized => Code::UnknownKey,
+            _ => Code::NoSuchDatabase,
+        };
         let Some(group) = self.groups.get(service) else { return };
         let starting_sessions: Vec<SessionId> = group
             .waiting_sessions
@@ -248,11 +296,11 @@
             .map(|(id, _)| *id)
             .collect();
         for id in starting_sessions {
-            self.reject_session(id, Fault::NoDatabase, Code::NoSuchDatabase);
+            self.reject_session(id, fault.clone(), code);
         }
         for id in open_sessions {
             self.fail_transaction(id);
-            self.refuse(id, Fault::NoDatabase, Code::NoSuchDatabase, None);
+            self.refuse(id, fault.clone(), code, None);
         }
     }
 
@@ -349,7 +397,7 @@
             .filter_map(|(id, services)| Some((id, services.into_iter().find(&has_sessions)?)))
             .collect();
         for (id, service) in due {
-            self.connect(&service, &id);
+            self.connect(&service, &id, None);
         }
     }
 
@@ -377,7 +425,23 @@
 
 /// Returns the database of a remote group; none if the group is a service.
 pub(super) fn database_of(service: &ServiceName) -> Option<&str> {
-    service.strip_prefix(REMOTE_PREFIX)
+    let rest = service.strip_prefix(REMOTE_PREFIX)?;
+    Some(rest.split_once(KEY_SEPARATOR).map_or(rest, |(database, _)| database))
+}
+
+/// Returns the name of the remote group of a database, and of a key if clients are identified.
+fn remote_service(database: &str, key: Option<&KeyDigest>) -> ServiceName {
+    match key {
+        None => Rc::from(format!("{REMOTE_PREFIX}{database}")),
+        Some(key) => {
+            let digest = encode_hex(key.as_bytes());
+            Rc::from(format!("{REMOTE_PREFIX}{database}{KEY_SEPARATOR}{digest}"))
+        }
+    }
+}
+
+fn encode_hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
 /// Returns the route of sessions that another node serves; that node applies the configured route.
--- a/crates/router/src/router/record.rs
+++ b/crates/router/src/router/record.rs
@@ -122,6 +122,7 @@
         Fault::Lagging => "lagging",
         Fault::ReadOnly => "read only",
         Fault::Misrouted => "misrouted",
+        Fault::OverLimit => "over limit",
         Fault::TooMany => "too many",
         Fault::NoStatement => "no statement",
         Fault::Failed => "failed",
--- a/crates/router/src/session.rs
+++ b/crates/router/src/session.rs
@@ -3,9 +3,10 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use crate::configuration::Route;
+use crate::customer::{CustomerName, KeyDigest};
 use crate::message::{
-    Access, Answer, ConnectionId, EndpointId, Position, Request, ServiceName, Statement, Time,
-    TransactionState,
+    Access, Answer, ConnectionId, EndpointId, Introduction, Outcome, Position, Request,
+    ServiceName, Statement, Time, TransactionState,
 };
 
 /// Values that a session has set.
@@ -35,8 +36,16 @@
 pub struct Session {
     /// Database, once the session has started.
     pub database: Option<String>,
+    /// Customer of the client, if this node serves the session and clients are identified.
+    pub customer: Option<CustomerName>,
+    /// Digest of the client's key, if clients are identified.
+    pub key: Option<KeyDigest>,
+    /// Whether the client's key was revoked.
+    pub is_revoked: bool,
     /// Whether the session is a channel that another node opened; this node then serves it.
     pub is_channel: bool,
+    /// What the node that opened the channel knows.
+    pub introduction: Introduction,
     /// Group of the poolers that serve the session; none if this node serves it.
     pub serving_group: Option<ServiceName>,
     /// Whether the client was told that the session is open.
@@ -77,6 +86,8 @@
     pub phase: Phase,
     /// Whether a write was sent in the transaction.
     pub has_written: bool,
+    /// Refusal by the node that serves the transaction, which the client has not been told.
+    pub refusal: Option<Outcome>,
     /// Endpoints that refused the begin, and until when they are avoided.
     pub avoided_endpoints: Vec<(EndpointId, Time)>,
 }
@@ -186,9 +197,10 @@
         Session { last_active_at: now, ..Session::default() }
     }
 
-    /// Marks the session as a channel that another node opened.
-    pub fn with_channel(mut self) -> Session {
+    /// Marks the session as a channel of another node, which knows what `introduction` says.
+    pub fn with_channel(mut self, introduction: Introduction) -> Session {
         self.is_channel = true;
+        self.introduction = introduction;
         self
     }
 
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -21,6 +21,13 @@
     pub has_customers: bool,
 }
 
+impl Settings {
+    /// Returns the region of a failure domain; a domain without a region is one of its own.
+    pub fn region_of<'a>(&'a self, failure_domain: &'a str) -> &'a str {
+        self.regions.get(failure_domain).map_or(failure_domain, String::as_str)
+    }
+}
+
 /// Time for which the status of another endpoint is evidence for the primary; a failover waits at
 /// least this long between fencing the old term and the promotion.
 pub const EVIDENCE_VALIDITY: Duration = Duration::from_millis(600);
@@ -58,6 +65,9 @@
 /// Limit of a node's connections to one endpoint; an endpoint runs fewer statements than this at
 /// once.
 pub const MAX_CONNECTIONS_PER_ENDPOINT: usize = 6;
+/// Limit of a node's connections to one endpoint where each connection carries the work of one
+/// customer: a node then needs more connections than it runs statements at once.
+pub const MAX_CUSTOMER_CONNECTIONS_PER_ENDPOINT: usize = 24;
 /// Share of an endpoint's connections that all nodes together open; the rest is left for nodes that
 /// restart.
 pub const MAX_CONNECTION_SHARE: f64 = 0.8;
--- a/crates/router/tests/membership.rs
+++ b/crates/router/tests/membership.rs
@@ -7,9 +7,9 @@
 use tamarackbend_router::membership::{
     MAX_DIRECT_FLEET_NODES, POOLERS_PER_DATABASE, Peer, is_responsible, poolers, rank,
 };
-use tamarackbend_router::message::{Request, SessionId};
+use tamarackbend_router::message::{Introduction, Request, SessionId};
 use tamarackbend_router::settings::Settings;
-use tamarackbend_router::{Action, ConnectionLoss, Event, Introduction, Router};
+use tamarackbend_router::{Action, ConnectionLoss, Event, Router};
 
 const START: Duration = Duration::from_secs(50);
 const DOMAINS: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
