--- a/crates/router/src/router/answers.rs
+++ b/crates/router/src/router/answers.rs
@@ -626,6 +626,7 @@
             }
             StatusEffect::Nothing | StatusEffect::TermOpen => {}
         }
+        self.return_connections(&origin.service, &origin.endpoint);
         self.accept_proven_sample(&origin.service);
         self.confirm_pending(&origin.service);
         self.advance_failover(&origin.service);
--- a/crates/router/src/router/dispatch.rs
+++ b/crates/router/src/router/dispatch.rs
@@ -4,8 +4,6 @@
 //! enough. In a remote group, whose endpoints are other nodes, work goes to the node that ranks
 //! best.
 
-use metrics::counter;
-
 use super::Router;
 use super::clients::staleness_bound;
 use crate::configuration::Consistency;
@@ -41,12 +39,6 @@
 /// endpoint is tried again.
 const MAX_RESPONSE_AGE: Time = Time::from_millis(1000);
 
-/// Connections to one endpoint that a node opens at once: each takes a slot of the endpoint.
-const MAX_OPENING_CONNECTIONS: usize = 3;
-/// Time without work after which a connection may be closed for another customer. Work that waited for
-/// the connection would have been placed by then.
-const MIN_CONNECTION_IDLE: Time = Time::from_millis(5);
-
 impl Router {
     /// Places the waiting work of all groups that changed, the most urgent first.
     pub(super) fn dispatch_all(&mut self) {
@@ -514,40 +506,6 @@
         }
         self.connect(service, id, None);
     }
-
-    /// Opens a connection to an endpoint for the work of a customer, and closes one of another customer
-    /// if the limit is reached. One connection of each customer is opened at a time.
-    fn open_customer_connection(
-        &mut self,
-        service: &ServiceName,
-        id: &EndpointId,
-        limit: usize,
-        customer: Option<CustomerName>,
-    ) {
-        let Some(group) = self.groups.get(service) else { return };
-        let Some(endpoint) = group.endpoints.get(id) else { return };
-        let may_connect = !self.is_role_undecided() && self.is_pooler != Some(false);
-        let opening = self.connections_to(endpoint).filter(|c| !c.is_established);
-        let is_opening = opening.clone().any(|c| c.customer == customer);
-        if self.now < endpoint.connect_after
-            || !may_connect
-            || is_opening
-            || opening.count() >= MAX_OPENING_CONNECTIONS
-        {
-            return;
-        }
-        if endpoint.connections.len() >= limit {
-            let free = self.connections_to(endpoint).filter(|c| {
-                c.is_free()
-                    && c.customer != customer
-                    && self.now >= c.last_answer_at + MIN_CONNECTION_IDLE
-            });
-            let Some(idle) = free.min_by_key(|c| c.last_answer_at).map(|c| c.id) else { return };
-            counter!("connections_closed_for_other_customers_total").increment(1);
-            self.disconnect(idle, "another customer needs the connection");
-        }
-        self.connect(service, id, customer);
-    }
 }
 
 /// Returns whether a position is set: a floor of term 0 requires nothing.
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -4,7 +4,8 @@
 //! other modules handle the events:
 //!
 //! - `starting`, `clients`: start of sessions, and client requests
-//! - `customers`: identification of clients by their keys
+//! - `customers`, `customer_connections`: identification of clients by their keys, and connections for
+//!   the work of one customer
 //! - `dispatch`: placement of waiting work on endpoints and connections
 //! - `answers`, `losses`: answers of endpoints and lost connections
 //! - `probes`: periodic work, failure detection and evidence for the primary
@@ -15,6 +16,7 @@
 
 mod answers;
 mod clients;
+mod customer_connections;
 mod customers;
 mod dispatch;
 mod dump;
