--- a/crates/router/src/endpoint.rs
+++ b/crates/router/src/endpoint.rs
@@ -33,6 +33,8 @@
     pub failed_attempts: u32,
     /// When the endpoint last answered.
     pub last_heard_at: Time,
+    /// Number of connections beyond which the endpoint refused another, and until when that counts.
+    pub connection_ceiling: Option<(usize, Time)>,
     /// Earliest time of the next connection attempt.
     pub connect_after: Time,
     /// Since when the endpoint has been draining.
@@ -68,6 +70,7 @@
             suspected_since: None,
             failed_attempts: 0,
             last_heard_at: now,
+            connection_ceiling: None,
             connect_after: now,
             draining_since,
             queued_commands: VecDeque::new(),
--- a/crates/router/src/router/customer_connections.rs
+++ b/crates/router/src/router/customer_connections.rs
@@ -19,9 +19,15 @@
 const MIN_CONNECTION_IDLE: Time = Time::from_millis(5);
 /// Share of an endpoint's connections in use up to which a node opens more than its even share. The rest
 /// is left for nodes that restart, and for several nodes that open connections at the same time.
-const MAX_SHARE_IN_USE: f64 = 0.75;
+const MAX_SHARE_IN_USE: f64 = 0.6;
 /// Share of an endpoint's connections in use from which on a node returns to its even share.
 const CROWDED_SHARE_IN_USE: f64 = 0.9;
+/// Time before another connection is opened to an endpoint that refused one for too many connections.
+const TOO_MANY_CONNECTIONS_PAUSE: Time = Time::from_millis(500);
+/// The same where a connection of another customer can be closed first.
+const CROWDED_CONNECT_PAUSE: Time = Time::from_millis(100);
+/// Time after such a refusal in which the node opens no additional connections.
+const CEILING_VALIDITY: Time = Time::from_secs(1);
 /// Age up to which an endpoint's report of its connections counts.
 const MAX_REPORT_AGE: Time = Time::from_secs(2);
 
@@ -47,9 +53,12 @@
         {
             return;
         }
-        let has_room = endpoint.connections.len() < MAX_CUSTOMER_CONNECTIONS_PER_ENDPOINT
+        let ceiling = endpoint.connection_ceiling.filter(|(_, until)| self.now < *until);
+        let limit = ceiling.map_or(even_share, |(count, _)| count.clamp(1, even_share));
+        let has_room = ceiling.is_none()
+            && endpoint.connections.len() < MAX_CUSTOMER_CONNECTIONS_PER_ENDPOINT
             && self.has_unused_connections(endpoint, group.max_connections);
-        if endpoint.connections.len() >= even_share && !has_room {
+        if endpoint.connections.len() >= limit && !has_room {
             let is_report_old =
                 endpoint.status.is_none_or(|(at, _)| self.now >= at + MAX_REPORT_AGE);
             let idle = self.longest_idle_connection(endpoint, |other| *other != customer);
@@ -63,6 +72,21 @@
         self.connect(service, id, customer);
     }
 
+    /// Records that an endpoint refused a connection for too many. The connections that the node has are
+    /// then given to the customers that need one.
+    pub(super) fn on_too_many_connections(&mut self, service: &ServiceName, id: &EndpointId) {
+        let now = self.now;
+        let pause = match self.settings.has_customers {
+            true => CROWDED_CONNECT_PAUSE,
+            false => TOO_MANY_CONNECTIONS_PAUSE,
+        };
+        let Some(endpoint) = self.endpoint_mut(service, id) else { return };
+        endpoint.connect_after = now + pause;
+        // The refused connection is still counted.
+        let count = endpoint.connections.len().saturating_sub(1);
+        endpoint.connection_ceiling = Some((count, now + CEILING_VALIDITY));
+    }
+
     /// Closes idle connections beyond the even share of an endpoint that has few unused ones left.
     pub(super) fn return_connections(&mut self, service: &ServiceName, id: &EndpointId) {
         let Some(group) = self.groups.get(service) else { return };
--- a/crates/router/src/router/losses.rs
+++ b/crates/router/src/router/losses.rs
@@ -13,10 +13,6 @@
 use crate::session::{Phase, Stage};
 use crate::settings::RECONNECT_PAUSE;
 
-/// Time before another connection is opened to an endpoint that refused one for too many
-/// connections.
-const TOO_MANY_CONNECTIONS_PAUSE: Time = Time::from_millis(500);
-
 /// Time before another channel is opened to a node that serves other customers: its view of the fleet
 /// differs for a moment.
 const MISROUTED_PAUSE: Time = Time::from_millis(20);
@@ -48,7 +44,7 @@
                 // Other nodes serve the sessions until a channel to this node opens again.
                 _ if is_remote => self.mark_peer_failed(&endpoint_id),
                 ConnectionLoss::Refused(Fault::TooMany) => {
-                    endpoint.connect_after = now + TOO_MANY_CONNECTIONS_PAUSE
+                    self.on_too_many_connections(&service, &endpoint_id);
                 }
                 ConnectionLoss::Refused(_) | ConnectionLoss::Broken | ConnectionLoss::Closed => {
                     endpoint.connect_after = now + RECONNECT_PAUSE;
