--- a/crates/router/tests/fleet/mod.rs
+++ b/crates/router/tests/fleet/mod.rs
@@ -1,8 +1,11 @@
 //! A weak node of a large fleet, whose clients poolers serve.
 
+#![allow(dead_code, reason = "each test uses a part of the functions")]
+
 use std::collections::HashMap;
 use std::time::Duration;
 
+use tamarackbend_router::customer::KeyDigest;
 use tamarackbend_router::membership::Peer;
 use tamarackbend_router::message::{ConnectionId, Outcome, Request, SessionId, Statement};
 use tamarackbend_router::settings::Settings;
@@ -52,9 +55,28 @@
     router
 }
 
+/// Returns the router of `node` in a fleet whose clients are identified by keys.
+pub fn router_with_customers(node: &str) -> Router {
+    let settings = Settings { has_customers: true, ..settings(node) };
+    let mut router = Router::new(settings, 1, START);
+    router.step(START, Event::PeersChanged(fleet()));
+    router
+}
+
 /// Requests the start of a connected session for the database `db`.
 pub fn request_start(router: &mut Router, now: Duration, session: SessionId) -> Vec<Action> {
-    let request = Request::Start { database: "db".to_owned(), key: None };
+    request_start_with_key(router, now, session, None)
+}
+
+/// Requests the start of a connected session for the database `db` by a client that presents `key`.
+pub fn request_start_with_key(
+    router: &mut Router,
+    now: Duration,
+    session: SessionId,
+    key: Option<&str>,
+) -> Vec<Action> {
+    let key = key.map(KeyDigest::new);
+    let request = Request::Start { database: "db".to_owned(), key };
     router.step(now, Event::ClientRequest(session, request))
 }
 
