--- a/crates/router/src/admission/mod.rs
+++ b/crates/router/src/admission/mod.rs
@@ -1,3 +1,4 @@
 //! Decisions on load, each for one load pattern and free of sessions and connections.
 
 pub mod retry;
+pub mod wait;
