Eject endpoints that work badly, and refuse hopeless work

Purpose: reads went on to endpoints that failed or lost a part of them, and work that no endpoint could serve in time was refused only at its deadline.

The outcomes of statements (answers, errors, lost connections, silence, time-outs) are evidence for groups of databases. An ejected endpoint gets reads only if no other can serve them, or if much work waits. A failed read is retried a second time at an untried endpoint if the time left allows it. An overdue read goes to another endpoint, once a second or at an endpoint that lost answers lately; the quick answer there is the evidence. Waiting work outside of transactions is refused with T2010 once a lower bound of its wait exceeds the time left, never during a failover.

Cause found on the way: a connection whose answer is lost stayed occupied for good while the endpoint answered probes. It is closed two seconds after its statement if nobody waits for the answer.

Considered and ruled out: an overdue answer as evidence by itself, since reads that are slow anywhere would eject the preferred endpoint; throughput of windows with a free connection, since reads that wait for a lagging replica would make the endpoints look slow.

After: the tests of the router pass, among them replica_that_fails_reads_is_ejected and writes_that_cannot_run_in_time_are_refused_at_once in tests/load.rs.

--- a/crates/router/src/admission/wait.rs
+++ b/crates/router/src/admission/wait.rs
@@ -8,7 +8,8 @@
 //! the larger of the two times in which they are served at best:
 //!
 //! - by the connections that this node may use, each at the fastest usual service time of its endpoint;
-//! - at [`SAFETY_FACTOR`] times the best throughput of the last seconds in which work always waited.
+//! - at [`SAFETY_FACTOR`] times the best throughput of the last seconds in which work always waited and
+//!   no connection was free.
 //!   This bound learns how many statements the endpoints run at once, and what other nodes use.
 //!
 //! Work is refused if it would be late even so. Work that can be answered in time is therefore never
@@ -105,8 +106,8 @@
         };
     }
 
-    /// Records whether work of the kind waits at `now` while its endpoints work as usual; called at
-    /// each tick.
+    /// Records whether work of the kind waits at `now` for a connection to become free; called at each
+    /// tick.
     pub fn observe(&mut self, now: Time, kind: Kind, is_waiting: bool) {
         let load = &mut self.kinds[kind as usize];
         load.is_saturated &= is_waiting;
--- a/crates/router/src/group.rs
+++ b/crates/router/src/group.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
+use crate::admission::outlier::Monitor;
 use crate::admission::retry::Crowd;
+use crate::admission::wait::{Estimator, Kind};
 use crate::endpoint::Endpoint;
 use crate::evidence::{Evidence, Sample};
 use crate::failover::{Ballot, Failover};
@@ -78,6 +80,17 @@
     pub waiting_sessions: Vec<SessionId>,
     /// Clients that were refused lately.
     pub crowd: Crowd,
+    /// Outcomes of statements by endpoint, and ejected endpoints.
+    pub outliers: Monitor,
+    /// Earliest retry of a read that is overdue at an endpoint without recent unanswered statements.
+    pub next_overdue_retry_at: Time,
+    /// Service times and throughput.
+    pub waits: Estimator,
+    /// Waiting statements that could still meet their objective at the last check, by kind and
+    /// priority.
+    pub on_time_counts: BTreeMap<(Kind, u32), usize>,
+    /// When waiting work is searched for hopeless work again.
+    pub next_wait_check_at: Time,
     /// Number of waiting sessions at the last dispatch.
     pub waiting_at_dispatch: usize,
     /// Failover that this node takes part in.
--- a/crates/router/src/router/answers.rs
+++ b/crates/router/src/router/answers.rs
@@ -22,7 +22,8 @@
 
 /// Age at which the status of a replica that reports itself lagging is requested again.
 const MAX_LAGGING_STATUS_AGE: Time = Time::from_secs(1);
-/// Number of times that a failed read is retried.
+/// Number of times that a failed read is retried, not counting a retry at an endpoint that has not
+/// been tried.
 const MAX_READ_RETRIES: u32 = 1;
 
 impl Router {
@@ -150,6 +151,7 @@
             return;
         }
         let (need, access) = (operation.need, operation.access);
+        self.record_answer(&origin.service, &origin.endpoint, id, origin.command.sent_at);
         if let Some(endpoint) = self.endpoint_mut(&origin.service, &origin.endpoint) {
             endpoint.backoff = None;
         }
@@ -396,6 +398,8 @@
         answer: Answer,
     ) {
         let now = self.now;
+        self.record_error(&origin.service, &origin.endpoint, fault);
+        let may_retry_elsewhere = self.may_retry_elsewhere(id, &origin.endpoint);
         let Some(session) = self.sessions.get_mut(&id) else { return };
         let in_transaction = session.transaction.is_some();
         let is_remote = session.serving_group.is_some();
@@ -408,7 +412,8 @@
             Fault::Busy => answer.state != TransactionState::Failed,
             Fault::Lagging | Fault::ReadOnly => !in_transaction,
             Fault::Failed | Fault::Timeout => {
-                let has_retries_left = operation.attempts <= MAX_READ_RETRIES;
+                let has_retries_left = operation.attempts <= MAX_READ_RETRIES
+                    || (operation.attempts <= MAX_READ_RETRIES + 1 && may_retry_elsewhere);
                 operation.is_read() && !in_transaction && has_retries_left
             }
             _ => false,
--- a/crates/router/src/router/clients.rs
+++ b/crates/router/src/router/clients.rs
@@ -316,8 +316,12 @@
             stage: Stage::Waiting,
             avoided_endpoints: Vec::new(),
             attempts: 0,
+            overdue_at: None,
             unproven_answer: None,
         });
+        if self.refuse_if_hopeless(&service, id) {
+            return;
+        }
         self.enqueue(&service, id);
     }
 
@@ -372,6 +376,9 @@
         let has_written =
             session.transaction.as_ref().is_some_and(|transaction| transaction.has_written);
         let in_transaction = session.transaction.is_some();
+        if let Stage::Sent { connection, .. } = operation.stage {
+            self.record_unanswered(connection);
+        }
         let is_commit = operation.statement == Statement::Commit;
         let (fault, code) = match operation.stage {
             Stage::Waiting => {
--- a/crates/router/src/router/dispatch.rs
+++ b/crates/router/src/router/dispatch.rs
@@ -26,7 +26,7 @@
 /// kind.
 const MAX_FAILED_PLACEMENTS: usize = 12;
 /// Share of the latency objective after which waiting work is unlikely to meet the objective.
-const LATE_SHARE: f64 = 0.6;
+pub(super) const LATE_SHARE: f64 = 0.6;
 /// Share of the drain time after which a draining endpoint gets no new work. The directory may
 /// report the drain late by one watch of the store, which lasts less than half of the drain time.
 const DRAIN_SHARE: f64 = 0.4;
@@ -237,7 +237,10 @@
             self.request_evidence_if_old(service);
         }
         let min_position = match need {
-            Need::Position(position) => Some(position).filter(is_set),
+            Need::Position(position) => {
+                self.record_read_sent(service, connection);
+                Some(position).filter(is_set)
+            }
             _ => None,
         };
         self.send_statement(
@@ -349,7 +352,7 @@
     }
 
     /// Returns the endpoints that can serve `need`, the best first; of a remote group, only the best.
-    fn candidates(
+    pub(super) fn candidates(
         &self,
         group: &Group,
         need: Need,
@@ -410,7 +413,8 @@
                     })
                     .collect();
                 candidates.sort();
-                candidates.into_iter().map(|(_, id)| id).collect()
+                let candidates = candidates.into_iter().map(|(_, id)| id).collect();
+                self.order_by_standing(group, candidates)
             }
         }
     }
--- a/crates/router/src/router/dump.rs
+++ b/crates/router/src/router/dump.rs
@@ -4,6 +4,7 @@
 
 use super::Router;
 use super::peers::database_of;
+use crate::admission::wait::Kind;
 use crate::endpoint::Endpoint;
 use crate::group::Group;
 use crate::message::Time;
@@ -33,7 +34,7 @@
 
     fn dump_group(&self, name: &crate::message::ServiceName, group: &Group) -> Value {
         let endpoints: Vec<Value> =
-            group.endpoints.values().map(|endpoint| self.dump_endpoint(endpoint)).collect();
+            group.endpoints.values().map(|endpoint| self.dump_endpoint(group, endpoint)).collect();
         let failover = group.failover.as_ref().map(|failover| {
             json!({
                 "reason": format!("{:?}", failover.reason),
@@ -51,13 +52,17 @@
             "evidence_ms": self.age(group.evidence.confirmed_at()),
             "position_ms": self.age(group.evidence.newest_position_at()),
             "waiting": group.waiting_sessions.len(),
+            "expected": {
+                "rate_primary": group.waits.throughput(self.now, Kind::Primary),
+                "rate_any": group.waits.throughput(self.now, Kind::Any),
+            },
             "confirming": group.pending_answers.len(),
             "change": failover,
             "endpoints": endpoints,
         })
     }
 
-    fn dump_endpoint(&self, endpoint: &Endpoint) -> Value {
+    fn dump_endpoint(&self, group: &Group, endpoint: &Endpoint) -> Value {
         let connections = self.connections_to(endpoint);
         json!({
             "id": &*endpoint.entry.id,
@@ -69,6 +74,12 @@
             "received": endpoint.status.map(|(_, status)| status.received.to_string()),
             "held": endpoint.status.map(|(_, status)| status.fenced_term),
             "status_ms": self.age(endpoint.status.map(|(requested_at, _)| requested_at)),
+            "ejected": group.outliers.ejection(&endpoint.entry.id).map(|ejection| json!({
+                "count": ejection.count,
+                "reason": format!("{:?}", ejection.reason),
+                "left_ms": ejection.until.saturating_sub(self.now).as_millis() as u64,
+                "trial_answers": ejection.trial_answers,
+            })),
             "response_ms": endpoint.average_read_time.as_millis() as u64,
             "connections": endpoint.connections.len(),
             "in_use": connections.filter(|connection| !connection.is_free()).count(),
--- a/crates/router/src/router/losses.rs
+++ b/crates/router/src/router/losses.rs
@@ -8,8 +8,11 @@
 use tracing::debug;
 
 use super::{ConnectionLoss, Router};
+use crate::admission::outlier::Attempt;
 use crate::connection::{Connection, Purpose};
-use crate::message::{ConnectionId, EndpointId, Fault, ServiceName, SessionId, Statement, Time};
+use crate::message::{
+    Access, ConnectionId, EndpointId, Fault, ServiceName, SessionId, Statement, Time,
+};
 use crate::session::{Phase, Stage};
 use crate::settings::RECONNECT_PAUSE;
 
@@ -35,6 +38,9 @@
         if let Some(group) = self.groups.get_mut(&service) {
             group.next_check_at = now;
         }
+        if *loss == ConnectionLoss::Broken && is_established {
+            self.record_lost_connection(id);
+        }
         let is_remote = self.is_remote(&service);
         if let Some(endpoint) = self.endpoint_mut(&service, &endpoint_id)
             && (!is_established || is_remote)
@@ -176,6 +182,9 @@
                 requeued.push(*id);
             }
         }
+        if !requeued.is_empty() {
+            self.record_attempt(service, endpoint, Some(Access::Read), Attempt::Unanswered);
+        }
         for id in requeued {
             self.enqueue(service, id);
         }
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -6,6 +6,7 @@
 //! - `clients`: client requests and sessions
 //! - `dispatch`: placement of waiting work on endpoints and connections
 //! - `answers`, `losses`: answers of endpoints and lost connections
+//! - `ejection`, `overload`: endpoints that work badly, and work that cannot be served in time
 //! - `probes`: periodic work, failure detection and evidence for the primary
 //! - `promotion`, `lease`: failover of a group's primary
 //! - `peers`: sessions that other nodes serve
@@ -16,8 +17,10 @@
 mod clients;
 mod dispatch;
 mod dump;
+mod ejection;
 mod lease;
 mod losses;
+mod overload;
 mod peers;
 mod probes;
 mod promotion;
@@ -567,6 +570,7 @@
     }
 
     fn refuse(&mut self, session: SessionId, fault: Fault, code: Code, retry: Option<Time>) {
+        metrics::counter!("refusals_total", "code" => format!("T{}", code as u16)).increment(1);
         let outcome = crate::message::Outcome::refusal(fault, code, retry);
         self.reply_outcome(session, outcome);
     }
--- a/crates/router/src/router/probes.rs
+++ b/crates/router/src/router/probes.rs
@@ -52,6 +52,9 @@
             if self.uses_group(service) {
                 self.check_connections(service);
                 self.sample_group(service);
+                self.check_overdue(service);
+                self.review_outliers(service);
+                self.check_waits(service);
             } else {
                 self.close_free_connections(service);
             }
--- a/crates/router/src/session.rs
+++ b/crates/router/src/session.rs
@@ -137,6 +137,8 @@
     pub avoided_endpoints: Vec<(EndpointId, Time)>,
     /// Number of times that the statement was sent to an endpoint.
     pub attempts: u32,
+    /// Endpoint at which the answer was overdue, so that the statement was sent to another one.
+    pub overdue_at: Option<EndpointId>,
     /// Answer that waits for proof that the endpoint is still the primary.
     pub unproven_answer: Option<Answer>,
 }
--- a/crates/router/tests/load.rs
+++ b/crates/router/tests/load.rs
@@ -293,3 +293,68 @@
     // queue builds up.
     assert!(in_time >= 720, "{in_time} writes were served in time");
 }
+
+/// Guards against writes that wait until their deadline although the primary cannot run them before:
+/// a burst of 600 writes at a primary that runs 200 a second, with a time limit of 800 ms.
+#[test]
+fn writes_that_cannot_run_in_time_are_refused_at_once() {
+    let mut node = Node::new();
+    let mut sent_at = HashMap::new();
+    let mut refused_early = 0;
+    for step in 0..400 {
+        for _ in 0..if step == 250 { 600 } else { 3 } {
+            let session = sent_at.len() as u64 + 1;
+            sent_at.insert(session, node.now);
+            node.send_write(session);
+        }
+        let run_count = node.unanswered.len().min(2);
+        let delayed = node.unanswered.split_off(run_count);
+        node.answer_commands(false);
+        node.unanswered.extend(delayed);
+        node.advance(10);
+        for (session, answer) in std::mem::take(&mut node.replies) {
+            let waited = node.now - sent_at[&session];
+            if let Outcome::Error { fault, text } = &answer.outcome
+                && text.starts_with("T2010 ")
+            {
+                assert_eq!(*fault, Fault::Busy);
+                assert!(text.contains("retry after"), "{text}");
+                refused_early += usize::from(waited <= Duration::from_millis(400));
+            }
+        }
+    }
+    // Within 800 ms, the primary runs 160 writes, and not even at twice its pace 320.
+    assert!(refused_early >= 250, "{refused_early} writes were refused early");
+}
+
+/// Guards against a replica that keeps its reads although it fails half of them.
+#[test]
+fn replica_that_fails_reads_is_ejected() {
+    let mut node = Node::with_consistency(Consistency::Bounded(Duration::from_millis(1500)));
+    let mut failed_late = 0;
+    for step in 0..600 {
+        node.send_statement(step + 1, Statement::Read { arguments: "item".to_owned() });
+        for (connection, command) in std::mem::take(&mut node.unanswered) {
+            let is_failing = !node.primary_connections.contains(&connection)
+                && command.id.is_some()
+                && step % 2 == 0;
+            if is_failing {
+                failed_late += usize::from(step >= 300);
+                let outcome = Outcome::Error { fault: Fault::Failed, text: String::new() };
+                let state = TransactionState::Idle;
+                let position = Some(POSITION);
+                let answer = Answer { rows: Vec::new(), outcome, state, position, status: None };
+                node.handle(Event::EndpointAnswered(connection, answer));
+            } else {
+                node.unanswered.push((connection, command));
+            }
+        }
+        node.answer_commands(false);
+        node.advance(10);
+    }
+    let dump = node.router.dump().to_string();
+    assert!(dump.contains("\"reason\":\"Failures"), "the replica is ejected: {dump}");
+    assert!(failed_late <= 10, "{failed_late} reads failed in the last three seconds");
+    node.answer_commands(false);
+    assert!(node.replies.iter().all(|(_, answer)| answer.outcome.fault().is_none()));
+}
