--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -8,6 +8,7 @@
 //!   the work of one customer
 //! - `dispatch`: placement of waiting work on endpoints and connections
 //! - `answers`, `losses`: answers of endpoints and lost connections
+//! - `ejection`, `overload`: endpoints that work badly, and work that cannot be served in time
 //! - `probes`: periodic work, failure detection and evidence for the primary
 //! - `promotion`, `lease`: failover of a group's primary
 //! - `peers`: sessions that other nodes serve
@@ -20,8 +21,10 @@
 mod customers;
 mod dispatch;
 mod dump;
+mod ejection;
 mod lease;
 mod losses;
+mod overload;
 mod peers;
 mod probes;
 mod promotion;
@@ -574,6 +577,7 @@
     }
 
     fn refuse(&mut self, session: SessionId, fault: Fault, code: Code, retry: Option<Time>) {
+        metrics::counter!("refusals_total", "code" => format!("T{}", code as u16)).increment(1);
         let outcome = crate::message::Outcome::refusal(fault, code, retry);
         self.reply_outcome(session, outcome);
     }
