--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod evidence;
 pub mod failover;
 pub mod group;
+pub mod limit;
 pub mod membership;
 pub mod message;
 pub mod replication;
