Carry loans of customers' limits between nodes

A request names its sender, because the accepting side of a link does not know the dialling node otherwise. Every request is answered, so that silence shows a broken link; links without channels are closed 5 s after the last request or the first one without an answer. Loan messages are not counted as calls, which leaves the liveness checks of channels as they were.

The messages carry fractions of the limit in place of operations per second. Without customers there are no messages, links or periodic work, and the dump is unchanged.

--- a/crates/gateway/src/channel.rs
+++ b/crates/gateway/src/channel.rs
@@ -2,9 +2,12 @@
 //!
 //! A channel is one multiplexed session on a link between two nodes.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use tamarackbend_router::Introduction;
 use tamarackbend_router::customer::KeyDigest;
+use tamarackbend_router::limit;
 use tamarackbend_router::message::{
     Access, Answer, Command, Fault, Order, Outcome, Position, Request, Statement, TransactionState,
 };
@@ -71,6 +74,45 @@
     }
 }
 
+pub(crate) fn encode_loan_requests(
+    sender: &str,
+    requests: Vec<limit::Request>,
+) -> channel::LoanRequests {
+    let requests = requests.into_iter().map(|request| channel::LoanRequest {
+        customer: request.customer.to_string(),
+        share: request.share,
+        requested_ms: request.requested_at.as_millis() as u64,
+    });
+    channel::LoanRequests { requests: requests.collect(), sender: sender.to_owned() }
+}
+
+pub(crate) fn decode_loan_requests(requests: Vec<channel::LoanRequest>) -> Vec<limit::Request> {
+    let requests = requests.into_iter().map(|request| limit::Request {
+        customer: request.customer.into(),
+        share: request.share,
+        requested_at: Duration::from_millis(request.requested_ms),
+    });
+    requests.collect()
+}
+
+pub(crate) fn encode_loans(loans: Vec<limit::Loan>) -> channel::Loans {
+    let loans = loans.into_iter().map(|loan| channel::Loan {
+        customer: loan.customer.to_string(),
+        share: loan.share,
+        requested_ms: loan.requested_at.as_millis() as u64,
+    });
+    channel::Loans { loans: loans.collect() }
+}
+
+pub(crate) fn decode_loans(loans: channel::Loans) -> Vec<limit::Loan> {
+    let loans = loans.loans.into_iter().map(|loan| limit::Loan {
+        customer: loan.customer.into(),
+        share: loan.share,
+        requested_at: Duration::from_millis(loan.requested_ms),
+    });
+    loans.collect()
+}
+
 /// Converts a command into a call to another node; returns none for orders that only endpoints
 /// take.
 pub(crate) fn encode_command(command: &Command) -> Option<Call> {
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -18,13 +18,14 @@
 use tamarackbend_router::Event;
 use tamarackbend_router::message::{ConnectionId, SessionId};
 use tamarackbend_wire::channel::{
-    Close, Frame, Notice, Open, Opened, Ping, Pong, Refused, frame::Body,
+    Close, Frame, LoanRequests, Loans, Notice, Open, Opened, Ping, Pong, Refused, frame::Body,
 };
 use tamarackbend_wire::{Codec, Decoder, Encoder};
 use tracing::{info, warn};
 
 use crate::channel::{
-    decode_call, decode_open, encode_answer, encode_fault, encode_introduction, frame,
+    decode_call, decode_loan_requests, decode_open, encode_answer, encode_fault,
+    encode_introduction, frame,
 };
 use crate::client::Response;
 use crate::node::{ACCEPT_RETRY_DELAY, Inbox, Message, SessionIds, Sink};
@@ -37,6 +38,12 @@
 /// Time to wait for any frame after a ping; covers many round trips between regions.
 const PONG_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time without loan requests after which a link without channels is closed: some renewals of loans.
+const LOAN_LINK_IDLE: Duration = Duration::from_secs(5);
+/// Time without an answer to loan requests after which a link without channels is closed; the next
+/// request dials it again. Each dial to a node that is lost occupies a socket until the system gives up.
+const LOAN_ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Outbound link to a node that serves sessions of this node's clients.
 pub(crate) struct Link {
     /// Distinguishes this link from earlier links to the same node.
@@ -48,6 +55,10 @@
     pending_calls: usize,
     last_received_at: Duration,
     ping_sent_at: Option<Duration>,
+    /// When loans were last requested; none if the link has only been used for channels.
+    loans_requested_at: Option<Duration>,
+    /// Time of the first loan request since the last answer.
+    loans_pending_since: Option<Duration>,
 }
 
 impl Link {
@@ -64,6 +75,8 @@
             pending_calls: 0,
             last_received_at: clock::now(),
             ping_sent_at: None,
+            loans_requested_at: None,
+            loans_pending_since: None,
         }
     }
 
@@ -84,6 +97,21 @@
         }
     }
 
+    pub(crate) fn request_loans(&mut self, requests: LoanRequests) {
+        let now = clock::now();
+        self.loans_requested_at = Some(now);
+        self.loans_pending_since.get_or_insert(now);
+        self.send(frame(0, Body::LoanRequests(requests)));
+    }
+
+    /// Returns whether the link was used for loans, has no channels and is no longer needed or does not
+    /// answer. Links that were used for channels only are kept.
+    pub(crate) fn is_unused_for_loans(&self, now: Duration) -> bool {
+        let is_idle = self.loans_requested_at.is_some_and(|at| now >= at + LOAN_LINK_IDLE);
+        let is_silent = self.loans_pending_since.is_some_and(|at| now >= at + LOAN_ANSWER_TIMEOUT);
+        self.channels.is_empty() && (is_idle || is_silent)
+    }
+
     /// Records a received frame; returns whether the frame is to be handled, which a frame of a
     /// closed channel is not.
     pub(crate) fn record_frame(&mut self, frame: &Frame) -> bool {
@@ -92,7 +120,11 @@
         if matches!(frame.body, Some(Body::Opened(_) | Body::Refused(_) | Body::Reply(_))) {
             self.pending_calls = self.pending_calls.saturating_sub(1);
         }
-        self.channels.contains(&frame.channel) || matches!(frame.body, Some(Body::Notice(_)))
+        if matches!(frame.body, Some(Body::Loans(_))) {
+            self.loans_pending_since = None;
+        }
+        self.channels.contains(&frame.channel)
+            || matches!(frame.body, Some(Body::Notice(_) | Body::Loans(_)))
     }
 
     /// Pings the node if it has been silent for too long; returns whether the link is lost because
@@ -130,6 +162,8 @@
 pub(crate) struct InboundLinks {
     links: Rc<RefCell<Vec<UnboundedSender<Frame>>>>,
     store_is_unreachable: Rc<Cell<bool>>,
+    /// Last link of each node that requested loans, by the node's name.
+    borrowers: Rc<RefCell<HashMap<String, UnboundedSender<Frame>>>>,
 }
 
 impl InboundLinks {
@@ -141,6 +175,22 @@
         self.links.borrow_mut().retain(|link| link.unbounded_send(notice()).is_ok());
     }
 
+    /// Sends loans to a node on the link on which it requested them.
+    pub(crate) fn send_loans(&self, to: &str, loans: Loans) {
+        if let Some(link) = self.borrowers.borrow().get(to) {
+            // Fails only if the link has ended; the borrower then requests again on another.
+            let _ = link.unbounded_send(frame(0, Body::Loans(loans)));
+        }
+    }
+
+    fn add_borrower(&self, name: &str, link: &UnboundedSender<Frame>) {
+        self.borrowers.borrow_mut().insert(name.to_owned(), link.clone());
+    }
+
+    fn remove_borrowers(&self, link: &UnboundedSender<Frame>) {
+        self.borrowers.borrow_mut().retain(|_, borrower| !borrower.same_receiver(link));
+    }
+
     fn add(&self, link: UnboundedSender<Frame>) {
         if self.store_is_unreachable.get() {
             let notice = Notice { store_is_away: true };
@@ -272,6 +322,12 @@
                     inbox.send(Message::Event(Event::ClientDisconnected(id)));
                 }
             }
+            Some(Body::LoanRequests(LoanRequests { requests, sender })) => {
+                inbound_links.add_borrower(&sender, &frames);
+                let requests = decode_loan_requests(requests);
+                let from = sender.into();
+                inbox.send(Message::Event(Event::LoanRequestsReceived { from, requests }));
+            }
             Some(Body::Ping(_)) => {
                 // Fails only if the writing task has ended; this task then ends too.
                 let _ = frames.unbounded_send(frame(channel, Body::Pong(Pong {})));
@@ -279,6 +335,7 @@
             _ => {}
         }
     }
+    inbound_links.remove_borrowers(&frames);
     if !sessions.is_empty() {
         info!(
             channels = sessions.len(),
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -19,10 +19,11 @@
 use tamarackbend_router::message::{Command, ConnectionId, Fault, SessionId};
 use tamarackbend_router::{Action, ConnectionLoss, Event, Router};
 use tamarackbend_wire::channel::{Close, Frame, Open, frame::Body};
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 use crate::channel::{
-    decode_fault, decode_introduction, decode_reply, encode_command, encode_open, frame,
+    decode_fault, decode_introduction, decode_loans, decode_reply, encode_command,
+    encode_loan_requests, encode_loans, encode_open, frame,
 };
 use crate::client::{self, Response};
 use crate::link::{self, InboundLinks, Link};
@@ -320,6 +321,15 @@
             Action::AnnounceStoreStatus { store_is_unreachable } => {
                 self.inbound_links.announce_store_status(store_is_unreachable);
             }
+            Action::SendLoanRequests { to, address, sender, requests } => {
+                self.ensure_link(&to, address);
+                if let Some(link) = self.links.get_mut(&*to) {
+                    link.request_loans(encode_loan_requests(&sender, requests));
+                }
+            }
+            Action::SendLoans { to, loans } => {
+                self.inbound_links.send_loans(&to, encode_loans(loans));
+            }
             other => perform_external(other),
         }
     }
@@ -332,12 +342,21 @@
 
     fn open_channel(&mut self, connection: ConnectionId, entry: &Entry, open: Open) {
         let peer = entry.id.to_string();
-        let has_link = self.links.get(&peer).is_some_and(|link| link.address == entry.address);
+        self.ensure_link(&peer, entry.address);
+        if let Some(link) = self.links.get_mut(&peer) {
+            link.open_channel(connection, open);
+        }
+        self.connections.insert(connection, Connection::Channel { peer });
+    }
+
+    /// Dials a link to a node if there is none to its address.
+    fn ensure_link(&mut self, peer: &str, address: SocketAddr) {
+        let has_link = self.links.get(peer).is_some_and(|link| link.address == address);
         if !has_link {
             self.next_generation += 1;
             let generation = self.next_generation;
-            let link = Link::dial(&peer, entry.address, generation, self.inbox.clone());
-            if let Some(replaced) = self.links.insert(peer.clone(), link) {
+            let link = Link::dial(peer, address, generation, self.inbox.clone());
+            if let Some(replaced) = self.links.insert(peer.to_owned(), link) {
                 for id in replaced.channels {
                     self.connections.remove(&id);
                     self.inbox
@@ -345,10 +364,6 @@
                 }
             }
         }
-        if let Some(link) = self.links.get_mut(&peer) {
-            link.open_channel(connection, open);
-        }
-        self.connections.insert(connection, Connection::Channel { peer });
     }
 
     fn send_commands(&mut self, id: ConnectionId, commands: Vec<Command>) {
@@ -394,6 +409,9 @@
                 Event::ConnectionLost(id, ConnectionLoss::Refused(fault))
             }
             Some(Body::Close(_)) => Event::ConnectionLost(id, ConnectionLoss::Closed),
+            Some(Body::Loans(loans)) => {
+                Event::LoansReceived { from: peer.into(), loans: decode_loans(loans) }
+            }
             Some(Body::Notice(notice)) => Event::PeerStoreNotice(peer.into(), notice.store_is_away),
             _ => return false,
         };
@@ -440,6 +458,13 @@
         for peer in lost_peers.collect::<Vec<String>>() {
             self.on_link_lost(&peer, perform_external);
         }
+        self.links.retain(|peer, link| {
+            let is_unused = link.is_unused_for_loans(now);
+            if is_unused {
+                debug!(peer, "closing a link that is not used for loans any more");
+            }
+            !is_unused
+        });
     }
 }
 
--- a/crates/router/src/router/dump.rs
+++ b/crates/router/src/router/dump.rs
@@ -10,10 +10,10 @@
 
 impl Router {
     /// Returns the state of the node as JSON; keys that end in `_ms` are ages in milliseconds.
-    pub fn dump(&self) -> Value {
+    pub fn dump(&mut self) -> Value {
         let groups: Vec<Value> =
             self.groups.iter().map(|(name, group)| self.dump_group(name, group)).collect();
-        json!({
+        let mut dump = json!({
             "node": self.settings.node,
             "ready": self.is_ready,
             "stopping_ms": self.age(self.stopping_since),
@@ -28,7 +28,11 @@
             "sessions": self.sessions.len(),
             "connections": self.connections.len(),
             "groups": groups,
-        })
+        });
+        if self.settings.has_customers {
+            dump["limits"] = self.dump_limits();
+        }
+        dump
     }
 
     fn dump_group(&self, name: &crate::message::ServiceName, group: &Group) -> Value {
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -9,6 +9,7 @@
 //! - `probes`: periodic work, failure detection and evidence for the primary
 //! - `promotion`, `lease`: failover of a group's primary
 //! - `peers`: sessions that other nodes serve
+//! - `limits`: limits of customers and loans between their holders
 //! - `stopping`: shutdown
 //! - `record`, `dump`: logs, metrics and the state dump
 
@@ -17,6 +18,7 @@
 mod dispatch;
 mod dump;
 mod lease;
+mod limits;
 mod losses;
 mod peers;
 mod probes;
@@ -25,6 +27,7 @@
 mod stopping;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
 
 use tamarackbend_policy::code::Code;
 use tracing::{info, warn};
@@ -36,6 +39,7 @@
 use crate::endpoint::Endpoint;
 use crate::failover::{PromotionAnswer, Record, RecordName};
 use crate::group::Group;
+use crate::limit::{Loan, Request as LoanRequest};
 use crate::membership::{MAX_DIRECT_FLEET_NODES, Peer};
 use crate::message::{
     Answer, Command, ConnectionId, EndpointId, Fault, Position, Request, Role, ServiceName,
@@ -79,6 +83,20 @@
     PeersChanged(Vec<Peer>),
     /// A pooler of this node's clients reported whether the store is unreachable for it.
     PeerStoreNotice(EndpointId, bool),
+    /// Another holder of customers requests loans.
+    LoanRequestsReceived {
+        /// Name of the node.
+        from: EndpointId,
+        /// The requests.
+        requests: Vec<LoanRequest>,
+    },
+    /// Another holder of customers answered requests; there may be no loans in the answer.
+    LoansReceived {
+        /// Name of the node.
+        from: EndpointId,
+        /// The loans.
+        loans: Vec<Loan>,
+    },
     /// A version of the configuration was read.
     ConfigurationRead(Configuration),
     /// The read of a record ended.
@@ -209,6 +227,25 @@
         /// Whether this node does not reach the store.
         store_is_unreachable: bool,
     },
+    /// Request loans of another node, on a link to it.
+    SendLoanRequests {
+        /// Name of the node.
+        to: EndpointId,
+        /// Address on which the node accepts links.
+        address: SocketAddr,
+        /// Name of this node, to which the loans are sent.
+        sender: EndpointId,
+        /// The requests.
+        requests: Vec<LoanRequest>,
+    },
+    /// Answer the requests of another node, on the link that they came on. An answer without loans
+    /// shows that the link works.
+    SendLoans {
+        /// Name of the node.
+        to: EndpointId,
+        /// The loans.
+        loans: Vec<Loan>,
+    },
     /// Tell the load balancer whether this node accepts new clients.
     SetReady(bool),
     /// End the process.
@@ -256,6 +293,7 @@
     /// When the configuration was last read, changed or not.
     configuration_read_at: Option<Time>,
     lease: lease::State,
+    limits: limits::State,
     store_unreachable_since: Option<Time>,
     stopping_since: Option<Time>,
     is_ready: bool,
@@ -265,6 +303,7 @@
     /// Returns the router of a node that has just started as this `incarnation` of its process.
     pub fn new(settings: Settings, incarnation: u64, now: Time) -> Router {
         Router {
+            limits: limits::State::new(&settings),
             settings,
             now,
             actions: Vec::new(),
@@ -328,6 +367,10 @@
             Event::PeerStoreNotice(peer, is_unreachable) => {
                 self.on_peer_store_notice(peer, is_unreachable)
             }
+            Event::LoanRequestsReceived { from, requests } => {
+                self.on_loan_requests(&from, requests)
+            }
+            Event::LoansReceived { from, loans } => self.on_loans(&from, loans),
             Event::ConfigurationRead(configuration) => self.on_configuration(configuration),
             Event::RecordFetched(name, result) => self.on_record_fetched(&name, result),
             Event::RecordWritten(name, result) => self.on_record_written(&name, &result),
--- a/crates/router/src/router/probes.rs
+++ b/crates/router/src/router/probes.rs
@@ -47,6 +47,7 @@
         self.prepare_without_fleet();
         self.check_sessions();
         self.check_peers();
+        self.tick_limits();
         let due = self.due_groups();
         for service in &due {
             if self.uses_group(service) {
