Charge operations to the limits of their customers

An operation is charged where it is queued: a statement outside of a transaction, or a begin. The shares follow the configuration and the fleet. The window and the slack of the rule come from the settings.

--- a/crates/gateway/tests/loans.rs
+++ b/crates/gateway/tests/loans.rs
@@ -47,6 +47,8 @@
         drain_timeout: Duration::from_secs(7),
         stop_timeout: Duration::from_secs(6),
         has_customers: true,
+        limit_window: Duration::from_secs(5),
+        limit_slack: 20.0,
     };
     let started_at = clock::now().saturating_sub(AGE);
     let mut router = Router::new(settings, 1, started_at);
--- a/crates/router/src/router/clients.rs
+++ b/crates/router/src/router/clients.rs
@@ -103,6 +103,10 @@
             }
             return;
         }
+        if self.refuse_over_limit(id, &statement_id, &statement) {
+            return;
+        }
+        let Some(session) = self.sessions.get_mut(&id) else { return };
         match statement {
             Statement::Begin { read_only } => self.begin_transaction(id, read_only),
             Statement::Rollback => {
--- a/crates/router/src/router/customers.rs
+++ b/crates/router/src/router/customers.rs
@@ -1,12 +1,15 @@
 //! Customers of sessions: identification by key, revoked keys, and the nodes that serve a customer.
 
+use std::collections::HashMap;
+
 use tamarackbend_policy::code::Code;
 use tracing::info;
 
-use super::{Introduction, Router};
+use super::Router;
 use crate::customer::{CustomerName, KeyDigest};
+use crate::limit;
 use crate::membership::{self, Peer};
-use crate::message::{ConnectionId, Fault, ServiceName, SessionId};
+use crate::message::{ConnectionId, Fault, Introduction, ServiceName, SessionId, Statement};
 use crate::session::{Phase, Stage};
 
 impl Router {
@@ -107,6 +110,62 @@
         true
     }
 
+    /// Refuses a statement that begins an operation of a customer that is over its limit; returns whether
+    /// it did.
+    pub(super) fn refuse_over_limit(
+        &mut self,
+        id: SessionId,
+        statement_id: &str,
+        statement: &Statement,
+    ) -> bool {
+        let Some(session) = self.sessions.get(&id) else { return false };
+        let begins_operation = match statement {
+            Statement::Begin { .. }
+            | Statement::Read { .. }
+            | Statement::Write { .. }
+            | Statement::Execute { .. } => session.transaction.is_none(),
+            _ => false,
+        };
+        let Some(customer) = session.customer.clone().filter(|_| begins_operation) else {
+            return false;
+        };
+        let key = xxhash_rust::xxh3::xxh3_64(statement_id.as_bytes());
+        let Err(retry_after) = self.admit_operation(&customer, key) else { return false };
+        self.refuse(id, Fault::OverLimit, Code::OverLimit, Some(retry_after));
+        true
+    }
+
+    /// Applies this node's shares of the limits after a change of the configuration or of the fleet.
+    pub(super) fn update_limits(&mut self) {
+        if !self.settings.has_customers {
+            return;
+        }
+        let table = self.configuration.as_ref().and_then(|c| c.customers.as_ref());
+        let limited = table.into_iter().flat_map(|table| table.customers());
+        let limited = limited.filter(|customer| customer.limit.is_some());
+        let shares: HashMap<CustomerName, limit::Share> = limited
+            .filter_map(|customer| Some((customer.name.clone(), self.share_of(&customer.name)?)))
+            .collect();
+        self.refresh_limits(|customer| shares.get(customer).cloned());
+    }
+
+    /// Returns this node's share of a customer's limit; none if it is no pooler of the customer.
+    fn share_of(&self, customer: &str) -> Option<limit::Share> {
+        let poolers = self.poolers_of(customer);
+        let own_region = self.settings.region_of(&self.settings.failure_domain);
+        let mut near = poolers
+            .iter()
+            .filter(|peer| self.settings.region_of(&peer.failure_domain) == own_region);
+        let first = near.next()?;
+        let is_own = |peer: &Peer| *peer.name == *self.settings.node;
+        if !poolers.iter().any(|peer| is_own(peer)) {
+            return None;
+        }
+        let rank = if is_own(first) { limit::Rank::First } else { limit::Rank::Second };
+        let others = poolers.iter().filter(|peer| !is_own(peer));
+        Some(limit::Share { rank, others: others.map(|peer| peer.name.clone()).collect() })
+    }
+
     /// Handles what the node at the other end of a channel knows.
     pub(super) fn on_introduction(&mut self, id: ConnectionId, introduction: Introduction) {
         self.seen_version = self.seen_version.max(introduction.version);
--- a/crates/router/src/router/limits.rs
+++ b/crates/router/src/router/limits.rs
@@ -5,7 +5,6 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
-use std::time::Duration;
 
 use metrics::{counter, gauge};
 use serde_json::{Value, json};
@@ -17,10 +16,6 @@
 use crate::message::{EndpointId, Time};
 use crate::settings::Settings;
 
-/// Length of the windows of the platform's quota rule.
-const QUOTA_WINDOW: Duration = Duration::from_secs(5);
-/// Operations in a window by which the quota rule lets a customer exceed its limit.
-const QUOTA_SLACK: f64 = 20.0;
 /// Customers that metrics and the dump name; a metric with a label for each of thousands of customers
 /// would be too large.
 const MAX_NAMED_CUSTOMERS: usize = 20;
@@ -41,8 +36,8 @@
         let regions: BTreeSet<&String> = settings.regions.values().collect();
         let ledger = Ledger::new(limit::Settings {
             regions: regions.len(),
-            window: QUOTA_WINDOW,
-            tolerance: QUOTA_SLACK,
+            window: settings.limit_window,
+            tolerance: settings.limit_slack,
         });
         State { ledger, ticked_at: None, named: BTreeSet::new() }
     }
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -452,6 +452,7 @@
         self.seen_version = self.seen_version.max(configuration.version);
         self.configuration = Some(configuration);
         self.update_own_services();
+        self.update_limits();
         self.identify_sessions();
         self.resolve_starting_sessions(true);
     }
--- a/crates/router/src/router/peers.rs
+++ b/crates/router/src/router/peers.rs
@@ -74,6 +74,7 @@
         self.poolers = poolers;
         self.is_pooler = Some(is_pooler);
         self.update_own_services();
+        self.update_limits();
         let watch_scope = match (is_pooler, self.is_direct()) {
             (false, _) => WatchScope::Nothing,
             (true, true) => WatchScope::OwnClients,
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 /// Settings of a [`Router`](crate::Router).
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Name of this node.
     pub node: String,
@@ -19,6 +19,10 @@
     pub stop_timeout: Duration,
     /// Whether clients are identified by keys, and work is limited by customer.
     pub has_customers: bool,
+    /// Length of the windows to which limits of customers apply.
+    pub limit_window: Duration,
+    /// Operations in a window that a customer may run beyond its limit.
+    pub limit_slack: f64,
 }
 
 impl Settings {
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -69,6 +69,8 @@
             drain_timeout: Duration::from_secs(10),
             stop_timeout: Duration::from_secs(6),
             has_customers: false,
+            limit_window: Duration::from_secs(5),
+            limit_slack: 20.0,
         };
         let mut node = Node {
             router: Router::new(settings, 1, START),
--- a/crates/router/tests/fleet/mod.rs
+++ b/crates/router/tests/fleet/mod.rs
@@ -45,6 +45,8 @@
         drain_timeout: Duration::from_secs(7),
         stop_timeout: Duration::from_secs(6),
         has_customers: false,
+        limit_window: Duration::from_secs(5),
+        limit_slack: 20.0,
     }
 }
 
--- a/crates/router/tests/histories/world.rs
+++ b/crates/router/tests/histories/world.rs
@@ -530,6 +530,8 @@
         drain_timeout: Duration::from_secs(7),
         stop_timeout: Duration::from_secs(6),
         has_customers: false,
+        limit_window: Duration::from_secs(5),
+        limit_slack: 20.0,
     };
     let mut router = Router::new(settings, index as u64 + 1, START);
     let route = Route {
--- a/crates/router/tests/load.rs
+++ b/crates/router/tests/load.rs
@@ -42,6 +42,8 @@
             drain_timeout: Duration::from_secs(7),
             stop_timeout: Duration::from_secs(6),
             has_customers: false,
+            limit_window: Duration::from_secs(5),
+            limit_slack: 20.0,
         };
         let route = Route {
             service: "s".into(),
--- a/crates/router/tests/peers.rs
+++ b/crates/router/tests/peers.rs
@@ -44,6 +44,8 @@
         drain_timeout: Duration::from_secs(7),
         stop_timeout: Duration::from_secs(6),
         has_customers: false,
+        limit_window: Duration::from_secs(5),
+        limit_slack: 20.0,
     };
     Router::new(settings, 1, START)
 }
