--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -326,7 +326,7 @@
                 inbound_links.add_borrower(&sender, &frames);
                 let requests = decode_loan_requests(requests);
                 let from = sender.into();
-                inbox.send(Message::Event(Event::LoanRequestsReceived { from, requests }));
+                inbox.send(Message::Event(Event::LoanRequestsReceived(from, requests)));
             }
             Some(Body::Ping(_)) => {
                 // Fails only if the writing task has ended; this task then ends too.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -327,7 +327,7 @@
                     link.request_loans(encode_loan_requests(&sender, requests));
                 }
             }
-            Action::SendLoans { to, loans } => {
+            Action::SendLoans(to, loans) => {
                 self.inbound_links.send_loans(&to, encode_loans(loans));
             }
             other => perform_external(other),
@@ -409,9 +409,7 @@
                 Event::ConnectionLost(id, ConnectionLoss::Refused(fault))
             }
             Some(Body::Close(_)) => Event::ConnectionLost(id, ConnectionLoss::Closed),
-            Some(Body::Loans(loans)) => {
-                Event::LoansReceived { from: peer.into(), loans: decode_loans(loans) }
-            }
+            Some(Body::Loans(loans)) => Event::LoansReceived(peer.into(), decode_loans(loans)),
             Some(Body::Notice(notice)) => Event::PeerStoreNotice(peer.into(), notice.store_is_away),
             _ => return false,
         };
--- a/crates/router/src/limit/account.rs
+++ b/crates/router/src/limit/account.rs
@@ -12,9 +12,6 @@
 const REQUEST_THRESHOLD: f64 = 0.9;
 /// Factor by which a borrower requests more than its demand, for growth until the next renewal.
 const NEED_FACTOR: f64 = 1.1;
-/// Factor by which a lender keeps more than its usual demand. The bucket covers short peaks; with 1.25,
-/// two holders at their usual demand kept a tenth of the limit from a third that was over its share.
-const RESERVE_FACTOR: f64 = 1.0;
 /// Part by which measured demand varies. A loan is renewed unchanged while it is within this part of what
 /// is available: the lender counts the largest of the valid loans, so variation would waste some of them.
 const DEMAND_NOISE: f64 = 0.15;
@@ -150,7 +147,7 @@
         // A bucket less than half full shows that the demand is higher than its measured rate, which is
         // inexact for small customers.
         let lendable_part = (self.bucket.filled_part() * 2.0).min(1.0);
-        let available = (self.settled_base(now) - demand * RESERVE_FACTOR) * lendable_part;
+        let available = (self.settled_base(now) - demand) * lendable_part;
         let noise = if lendable_part < 1.0 { 0.0 } else { demand * DEMAND_NOISE };
         let share = self.loans.lend(now, from, request.share, available, noise);
         self.resize(now);
--- a/crates/router/src/router/limits.rs
+++ b/crates/router/src/router/limits.rs
@@ -155,10 +155,13 @@
         let answer = |request| self.limits.ledger.on_request(self.now, from, request);
         let loans: Vec<Loan> = requests.into_iter().filter_map(answer).collect();
         counter!("customer_loans_total", "direction" => "given").increment(loans.len() as u64);
-        self.actions.push(Action::SendLoans { to: from.clone(), loans });
+        self.actions.push(Action::SendLoans(from.clone(), loans));
     }
 
     pub(super) fn on_loans(&mut self, from: &EndpointId, loans: Vec<Loan>) {
+        if !self.settings.has_customers {
+            return;
+        }
         for loan in loans {
             let customer = loan.customer.clone();
             let direction = match self.limits.ledger.on_loan(self.now, from, loan) {
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -91,20 +91,10 @@
     PeersChanged(Vec<Peer>),
     /// A pooler of this node's clients reported whether the store is unreachable for it.
     PeerStoreNotice(EndpointId, bool),
-    /// Another holder of customers requests loans.
-    LoanRequestsReceived {
-        /// Name of the node.
-        from: EndpointId,
-        /// The requests.
-        requests: Vec<LoanRequest>,
-    },
-    /// Another holder of customers answered requests; there may be no loans in the answer.
-    LoansReceived {
-        /// Name of the node.
-        from: EndpointId,
-        /// The loans.
-        loans: Vec<Loan>,
-    },
+    /// Another holder of customers, named here, requests loans.
+    LoanRequestsReceived(EndpointId, Vec<LoanRequest>),
+    /// Another holder of customers, named here, answered requests, perhaps without loans.
+    LoansReceived(EndpointId, Vec<Loan>),
     /// A version of the configuration was read.
     ConfigurationRead(Configuration),
     /// The read of a record ended.
@@ -237,14 +227,9 @@
         /// The requests.
         requests: Vec<LoanRequest>,
     },
-    /// Answer the requests of another node, on the link that they came on. An answer without loans
-    /// shows that the link works.
-    SendLoans {
-        /// Name of the node.
-        to: EndpointId,
-        /// The loans.
-        loans: Vec<Loan>,
-    },
+    /// Answer the requests of this node, on the link that they came on, even if nothing is lent: the
+    /// answer shows that the link works.
+    SendLoans(EndpointId, Vec<Loan>),
     /// Tell the load balancer whether this node accepts new clients.
     SetReady(bool),
     /// End the process.
@@ -371,10 +356,8 @@
             Event::PeerStoreNotice(peer, is_unreachable) => {
                 self.on_peer_store_notice(peer, is_unreachable)
             }
-            Event::LoanRequestsReceived { from, requests } => {
-                self.on_loan_requests(&from, requests)
-            }
-            Event::LoansReceived { from, loans } => self.on_loans(&from, loans),
+            Event::LoanRequestsReceived(from, requests) => self.on_loan_requests(&from, requests),
+            Event::LoansReceived(from, loans) => self.on_loans(&from, loans),
             Event::ConfigurationRead(configuration) => self.on_configuration(configuration),
             Event::RecordFetched(name, result) => self.on_record_fetched(&name, result),
             Event::RecordWritten(name, result) => self.on_record_written(&name, &result),
