Refuse nothing for its wait just after a failover, and forget removed endpoints

Purpose: a queue that a failover leaves is served at once by the new primary, while the throughput that is known is that of the old one. Nothing is refused for its expected wait for 1 s after the primary was unknown, silent or being replaced. Evidence and service times of endpoints that were removed from the directory are dropped, so that endpoints_ejected does not count them.

Considered and ruled out: forgetting an endpoint when its process restarts, since an endpoint that goes down and up every 1.4 s would never be judged.

The tests of the router pass, among them that ejections grow to 16 s, that one endpoint stays in use, and that writes are not refused early while no primary is known.

--- a/crates/router/src/admission/outlier.rs
+++ b/crates/router/src/admission/outlier.rs
@@ -270,6 +270,11 @@
         tried.into_iter().chain(in_use).chain(ejected).collect()
     }
 
+    /// Forgets the endpoints for which `exists` returns false.
+    pub fn retain(&mut self, exists: impl Fn(&EndpointId) -> bool) {
+        self.records.retain(|id, _| exists(id));
+    }
+
     /// Returns whether `endpoint` has left statements unanswered lately.
     pub fn has_unanswered(&self, endpoint: &EndpointId) -> bool {
         self.records.get(endpoint).is_some_and(|record| record.incidents >= RECENT_INCIDENTS)
--- a/crates/router/src/admission/wait.rs
+++ b/crates/router/src/admission/wait.rs
@@ -127,6 +127,13 @@
         load.is_saturated = is_waiting;
     }
 
+    /// Forgets the endpoints for which `exists` returns false.
+    pub fn retain(&mut self, exists: impl Fn(&EndpointId) -> bool) {
+        for load in &mut self.kinds {
+            load.service_times.retain(|id, _| exists(id));
+        }
+    }
+
     /// Returns whether the service time of `endpoint` is known.
     pub fn knows(&self, kind: Kind, endpoint: &EndpointId) -> bool {
         self.kinds[kind as usize].service_times.contains_key(endpoint)
--- a/crates/router/src/group.rs
+++ b/crates/router/src/group.rs
@@ -89,6 +89,8 @@
     /// Waiting statements that could still meet their objective at the last check, by kind and
     /// priority.
     pub on_time_counts: BTreeMap<(Kind, u32), usize>,
+    /// Earliest refusal of work for its expected wait, after the primary was silent or replaced.
+    pub wait_estimates_after: Time,
     /// When waiting work is searched for hopeless work again.
     pub next_wait_check_at: Time,
     /// Number of waiting sessions at the last dispatch.
--- a/crates/router/src/router/ejection.rs
+++ b/crates/router/src/router/ejection.rs
@@ -158,8 +158,11 @@
             })
             .map(|(id, _)| id.clone())
             .collect();
+        let ejected_before = group.outliers.ejected_count();
+        group.outliers.retain(|id| group.endpoints.contains_key(id));
+        group.waits.retain(|id| group.endpoints.contains_key(id));
         let changes = group.outliers.review(now, &|id| usable.contains(id));
-        if changes.is_empty() {
+        if changes.is_empty() && group.outliers.ejected_count() == ejected_before {
             return;
         }
         for change in changes {
--- a/crates/router/src/router/overload.rs
+++ b/crates/router/src/router/overload.rs
@@ -20,6 +20,9 @@
 /// Interval of the search for hopeless work: short against time limits, and long against the
 /// statements that it looks at.
 const CHECK_INTERVAL: Time = Time::from_millis(100);
+/// Time after a silence or a failover of the primary in which nothing is refused. A primary that accepts
+/// connections without answering is suspected again within this time.
+const STEADY_AFTER: Time = Time::from_secs(1);
 
 /// Place of waiting work in the order of service: late, priority, arrival.
 type Place = (bool, u32, Time);
@@ -55,6 +58,12 @@
     pub(super) fn check_waits(&mut self, service: &ServiceName) {
         let now = self.now;
         let Some(group) = self.groups.get(service) else { return };
+        if !self.has_steady_primary(group)
+            && let Some(group) = self.groups.get_mut(service)
+        {
+            group.wait_estimates_after = now + STEADY_AFTER;
+        }
+        let Some(group) = self.groups.get(service) else { return };
         let is_steady = self.estimates_waits(group);
         let is_check_due = now >= group.next_wait_check_at;
         let mut queue = Vec::new();
@@ -131,9 +140,13 @@
         self.refuse(id, Fault::Busy, Code::Overloaded, Some(retry_after));
     }
 
-    /// Returns whether waits can be estimated: the endpoints of a database have a primary that is not
-    /// being replaced.
+    /// Returns whether waits can be estimated: the endpoints of a database have a primary that has not
+    /// been silent or replaced lately.
     fn estimates_waits(&self, group: &Group) -> bool {
+        self.now >= group.wait_estimates_after && self.has_steady_primary(group)
+    }
+
+    fn has_steady_primary(&self, group: &Group) -> bool {
         !group.is_remote
             && group.failover.is_none()
             && group.fenced_since.is_none()
--- a/crates/router/tests/load.rs
+++ b/crates/router/tests/load.rs
@@ -170,6 +170,18 @@
         self.unanswered.retain(|(connection, _)| !primary.contains(connection));
     }
 
+    /// Answers the oldest command to the primary as an endpoint that is a replica now.
+    fn answer_read_only(&mut self) {
+        let is_primary = |c: &ConnectionId| self.primary_connections.contains(c);
+        let index =
+            self.unanswered.iter().position(|(c, command)| is_primary(c) && command.id.is_some());
+        let (connection, _) = self.unanswered.remove(index.expect("a write is unanswered"));
+        let outcome = Outcome::Error { fault: Fault::ReadOnly, text: String::new() };
+        let state = TransactionState::Idle;
+        let answer = Answer { rows: Vec::new(), outcome, state, position: None, status: None };
+        self.handle(Event::EndpointAnswered(connection, answer));
+    }
+
     /// Returns the number of statements that were answered with success.
     fn served_count(&self) -> usize {
         self.replies.iter().filter(|(_, answer)| answer.outcome.fault().is_none()).count()
@@ -392,3 +404,31 @@
         assert!(!node.router.dump().to_string().contains("\"reason\":\"Failures"));
     }
 }
+
+/// Guards against refusals of writes that are served once a failover has ended.
+#[test]
+fn writes_are_not_refused_early_while_no_primary_is_known() {
+    let mut node = Node::new();
+    for step in 0..300 {
+        let arriving = if step == 250 { 600 } else { 3 };
+        let first = node.now.as_millis() as u64 * 1_000;
+        (0..arriving).for_each(|n| node.send_write(first + n));
+        if step == 249 {
+            node.answer_read_only();
+            node.replies.clear();
+        }
+        if step >= 249 {
+            node.drop_primary_commands();
+        }
+        let run_count = node.unanswered.len().min(2);
+        let delayed = node.unanswered.split_off(run_count);
+        node.answer_commands(false);
+        node.unanswered.extend(delayed);
+        node.advance(10);
+    }
+    let is_early = |answer: &Answer| match &answer.outcome {
+        Outcome::Error { text, .. } => text.starts_with("T2010 "),
+        Outcome::Complete(_) => false,
+    };
+    assert!(!node.replies.iter().any(|(_, answer)| is_early(answer)));
+}
--- a/crates/router/tests/outliers.rs
+++ b/crates/router/tests/outliers.rs
@@ -277,3 +277,29 @@
         assert!(ejecting.served >= by_time.served && ejecting.in_time >= by_time.in_time);
     }
 }
+
+/// Guards against a group without endpoints for reads, and against an endpoint that is tried at the
+/// same short intervals for ever.
+#[test]
+fn one_endpoint_stays_in_use_and_ejections_grow() {
+    let ids: Vec<EndpointId> = ["a", "b"].into_iter().map(EndpointId::from).collect();
+    let mut monitor = Monitor::default();
+    let mut lengths = Vec::new();
+    for now in 0..60_000 {
+        // The first endpoint fails everything after two seconds, the other one after forty.
+        for (n, id) in ids.iter().enumerate() {
+            let is_bad = now > if n == 0 { 2_000 } else { 40_000 };
+            let good = Attempt::Answered(Duration::from_millis(10));
+            let attempt = if is_bad { Attempt::Failed } else { good };
+            monitor.record(at(now), id, Access::Read, attempt);
+        }
+        for change in monitor.review(at(now), &|_| true) {
+            if let Change::Ejected(_, _, length) = change {
+                lengths.push(length.as_secs());
+            }
+        }
+        assert!(monitor.ejected_count() < 2, "one endpoint stays in use at {now} ms");
+    }
+    assert!(lengths.starts_with(&[1, 2, 4, 8, 16]), "{lengths:?}");
+    assert!(lengths.iter().all(|length| *length <= 16), "{lengths:?}");
+}
