Order waiting work in a queue, and customers by recent slot time

Purpose: a dispatch sorted and went through all waiting sessions at each event, and the order by age let one customer's surge make the operations of all others late.

admission::queue keeps the waiting work of a group in lanes by class (late, priority), customer and kind. Adding, removing, turning late and taking the next work cost O(log n); a lane whose kind has found no connection is skipped as a whole, per customer (3 failures; 12 without a customer, as before). admission::fairness orders customers by slot time with exponential decay, weighted by their limits. Late work that has waited for three quarters of its time limit gets one in 16 placements of its priority, unless its customer is above its share.

Without a customer the order is (late, priority, age) as before. A statement that ends without having been sent now leaves the queue at once instead of at a later dispatch.

--- a/crates/router/src/admission/mod.rs
+++ b/crates/router/src/admission/mod.rs
@@ -1,3 +1,5 @@
 //! Decisions on load, each for one load pattern and free of sessions and connections.
 
+pub mod fairness;
+pub mod queue;
 pub mod retry;
--- a/crates/router/src/group.rs
+++ b/crates/router/src/group.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
+use crate::admission::queue::Queue;
 use crate::admission::retry::Crowd;
 use crate::endpoint::Endpoint;
 use crate::evidence::{Evidence, Sample};
@@ -75,7 +76,7 @@
     /// Answers that wait for evidence, or for a replica to hold a commit.
     pub pending_answers: Vec<PendingAnswer>,
     /// Sessions whose statement or transaction waits for a connection.
-    pub waiting_sessions: Vec<SessionId>,
+    pub waiting_sessions: Queue,
     /// Clients that were refused lately.
     pub crowd: Crowd,
     /// Number of waiting sessions at the last dispatch.
--- a/crates/router/src/router/answers.rs
+++ b/crates/router/src/router/answers.rs
@@ -68,6 +68,7 @@
             self.record_log_position(&service, &endpoint_id, position);
         }
         self.record_response_time(&command.purpose, command.sent_at);
+        self.record_slot_time(&service, &command);
         let state = answer.state;
         let origin = Origin { connection: id, service, endpoint: endpoint_id, command };
         self.handle_answer(&origin, answer);
--- a/crates/router/src/router/clients.rs
+++ b/crates/router/src/router/clients.rs
@@ -8,13 +8,14 @@
 
 use super::peers::remote_route;
 use super::{Action, Router};
+use crate::admission::queue::{Kind, Work};
 use crate::configuration::{Consistency, Route};
 use crate::connection::Purpose;
 use crate::message::{
     Access, Answer, Command, ConnectionId, Fault, Order, Outcome, Position, Request, ServiceName,
     SessionId, Statement, Time, TransactionState,
 };
-use crate::session::{Need, Operation, Phase, PreparedStatement, Stage, Transaction};
+use crate::session::{Need, Operation, Phase, PreparedStatement, Session, Stage, Transaction};
 use crate::settings::{
     BALANCER_DRAIN_TIME, RETRY_AFTER_BUSY, RETRY_AFTER_NO_PRIMARY, SESSION_START_TIMEOUT,
 };
@@ -325,11 +326,11 @@
     pub(super) fn enqueue(&mut self, service: &ServiceName, id: SessionId) {
         let now = self.now;
         self.dirty.insert(service.clone());
+        let work = self.sessions.get(&id).map_or_else(|| Work::last(id), |s| waiting_work(id, s));
+        let weight = self.weights.weight(work.customer.as_ref());
         let group = self.groups.entry(service.clone()).or_default();
         group.last_request_at = now;
-        if !group.waiting_sessions.contains(&id) {
-            group.waiting_sessions.push(id);
-        }
+        group.waiting_sessions.add(now, work, weight);
     }
 
     fn reply_complete(&mut self, id: SessionId) {
@@ -353,7 +354,13 @@
             self.answered_sessions.push(id);
         }
         answer.state = session.state();
+        let has_begin_waiting =
+            session.transaction.as_ref().is_some_and(|t| t.phase == Phase::Waiting);
         if let Some(operation) = operation {
+            if !has_begin_waiting && let Some(group) = self.groups.get_mut(&operation.route.service)
+            {
+                group.waiting_sessions.remove(id);
+            }
             if answer.outcome.fault().is_none()
                 && let Some(group) = self.groups.get_mut(&operation.route.service)
             {
@@ -468,7 +475,7 @@
         self.roll_back_transaction(id);
         self.sessions.remove(&id);
         for group in self.groups.values_mut() {
-            group.waiting_sessions.retain(|waiting| *waiting != id);
+            group.waiting_sessions.remove(id);
             group.pending_answers.retain(|pending| pending.session != id);
         }
     }
@@ -505,6 +512,32 @@
     }
 }
 
+/// Returns the waiting work of a session: its statement, or else the begin of its transaction. A session
+/// with neither waits to be opened.
+fn waiting_work(id: SessionId, session: &Session) -> Work {
+    let (route, since) = match (&session.current, &session.transaction) {
+        (Some(operation), _) => (&operation.route, operation.received_at),
+        (None, Some(transaction)) => (&transaction.route, transaction.received_at),
+        (None, None) => return Work::last(id).with_customer(session.customer.clone()),
+    };
+    let staleness = staleness_bound(route.consistency);
+    let kind = match (&session.transaction, &session.current) {
+        (Some(transaction), _) if transaction.phase == Phase::Waiting => {
+            match transaction.is_read_only {
+                true => Kind::BeginReadOnly,
+                false => Kind::Begin,
+            }
+        }
+        (Some(_), _) => Kind::InTransaction,
+        (None, Some(operation)) if operation.is_read() && staleness.is_some() => Kind::ReplicaRead,
+        _ => Kind::PrimaryOnly,
+    };
+    let staleness = staleness.filter(|_| kind == Kind::ReplicaRead).unwrap_or_default();
+    Work::new(id, kind, route.priority, since, route.objective, route.timeout)
+        .with_staleness(staleness)
+        .with_customer(session.customer.clone())
+}
+
 /// Returns the staleness bound of reads; none if replicas may not serve them.
 pub(super) fn staleness_bound(consistency: Consistency) -> Option<Time> {
     match consistency {
--- a/crates/router/src/router/dispatch.rs
+++ b/crates/router/src/router/dispatch.rs
@@ -4,10 +4,14 @@
 //! enough. In a remote group, whose endpoints are other nodes, work goes to the node that ranks
 //! best.
 
+use std::collections::BTreeMap;
+
 use super::Router;
 use super::clients::staleness_bound;
+use crate::admission::queue::Kind;
 use crate::configuration::Consistency;
 use crate::connection::Purpose;
+use crate::customer::CustomerName;
 use crate::endpoint::Endpoint;
 use crate::group::Group;
 use crate::message::{
@@ -25,8 +29,9 @@
 /// Number of failed placements after which a dispatch skips a group's remaining work of the same
 /// kind.
 const MAX_FAILED_PLACEMENTS: usize = 12;
-/// Share of the latency objective after which waiting work is unlikely to meet the objective.
-const LATE_SHARE: f64 = 0.6;
+/// The same for the work of one customer: with tens of customers, more attempts would visit hundreds of
+/// entries at each event.
+const MAX_FAILED_PLACEMENTS_PER_CUSTOMER: usize = 3;
 /// Share of the drain time after which a draining endpoint gets no new work. The directory may
 /// report the drain late by one watch of the store, which lasts less than half of the drain time.
 const DRAIN_SHARE: f64 = 0.4;
@@ -46,45 +51,44 @@
     }
 
     fn dispatch(&mut self, service: &ServiceName) {
+        let now = self.now;
         let Some(group) = self.groups.get_mut(service) else { return };
         if group.waiting_sessions.is_empty() {
             return;
         }
-        let mut waiting = std::mem::take(&mut group.waiting_sessions);
-        group.waiting_at_dispatch = waiting.len();
-        waiting.sort_by_key(|id| self.urgency(*id));
-        let mut unplaced = Vec::new();
-        let mut failed_placements = [0; Kind::COUNT];
-        for id in waiting {
+        let waiting = group.waiting_sessions.len();
+        group.waiting_at_dispatch = waiting;
+        group.waiting_sessions.start_dispatch(now);
+        let mut failed_placements: BTreeMap<(Kind, Option<CustomerName>), usize> = BTreeMap::new();
+        // Work that is queued again while others are placed waits for the next dispatch.
+        for _ in 0..waiting {
+            let Some(group) = self.groups.get_mut(service) else { return };
+            let Some(candidate) = group.waiting_sessions.take() else { break };
+            let (id, customer) = (candidate.work.session, candidate.work.customer.clone());
+            let limit = match customer {
+                Some(_) => MAX_FAILED_PLACEMENTS_PER_CUSTOMER,
+                None => MAX_FAILED_PLACEMENTS,
+            };
             let kind = self.kind_of(service, id);
-            // After several placements of one kind have found no connection, the rest would fail
-            // too.
-            let failure_count = &mut failed_placements[kind as usize];
-            if *failure_count >= MAX_FAILED_PLACEMENTS
-                || self.place(service, id) == Placement::StillWaiting
-            {
-                *failure_count += 1;
-                unplaced.push(id);
+            let failure_count = failed_placements.entry((kind, customer)).or_default();
+            // After several placements of one kind have found no connection, the rest of the
+            // customer's work would fail too.
+            let is_skipped = *failure_count >= limit;
+            if !is_skipped && self.place(service, id) == Placement::Done {
+                continue;
+            }
+            *failure_count += 1;
+            let Some(group) = self.groups.get_mut(service) else { return };
+            match is_skipped {
+                true => group.waiting_sessions.skip(candidate),
+                false => group.waiting_sessions.hold(candidate),
             }
         }
         if let Some(group) = self.groups.get_mut(service) {
-            group.waiting_sessions.extend(unplaced);
+            group.waiting_sessions.end_dispatch();
         }
     }
 
-    /// Returns the sort key of waiting work. Work that is unlikely to meet its latency objective
-    /// comes after all work that still can.
-    fn urgency(&self, id: SessionId) -> (bool, u32, Time) {
-        let Some(session) = self.sessions.get(&id) else { return (true, u32::MAX, Time::MAX) };
-        let (route, waiting_since) = match (&session.current, &session.transaction) {
-            (Some(operation), _) => (&operation.route, operation.received_at),
-            (None, Some(transaction)) => (&transaction.route, transaction.received_at),
-            (None, None) => return (true, u32::MAX, Time::MAX),
-        };
-        let is_late = self.now >= waiting_since + route.objective.mul_f64(LATE_SHARE);
-        (is_late, route.priority, waiting_since)
-    }
-
     fn kind_of(&self, service: &ServiceName, id: SessionId) -> Kind {
         let Some(session) = self.sessions.get(&id) else { return Kind::InTransaction };
         match (&session.transaction, &session.current) {
@@ -169,6 +173,7 @@
             transaction.began_at_floor = floor.is_some();
         }
         self.send(connection, commands);
+        self.record_sent(service, id);
         Placement::Done
     }
 
@@ -281,6 +286,7 @@
             commands.push((rollback_command, Purpose::Cleanup));
         }
         self.send(connection, commands);
+        self.record_sent(&operation.route.service, id);
     }
 
     fn setup(
@@ -508,26 +514,6 @@
     avoided_endpoints.iter().filter(|(_, until)| now < *until).map(|(id, _)| id.clone()).collect()
 }
 
-/// Kind of waiting work. Kinds are counted separately because one may find a connection where
-/// another does not.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Kind {
-    /// Statement of an open transaction, which has its own connection.
-    InTransaction,
-    /// Begin of a transaction at the primary.
-    Begin,
-    /// Begin of a read-only transaction, which replicas may serve.
-    BeginReadOnly,
-    /// Statement that only the primary can serve.
-    PrimaryOnly,
-    /// Read that replicas may serve.
-    ReplicaRead,
-}
-
-impl Kind {
-    const COUNT: usize = 5;
-}
-
 /// Result of a placement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Placement {
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -29,6 +29,7 @@
 use tamarackbend_policy::code::Code;
 use tracing::{info, warn};
 
+use crate::admission::fairness::Weights;
 use crate::configuration::{Configuration, Route};
 use crate::connection::{Connection, Purpose, SentCommand};
 use crate::customer::{CustomerName, KeyDigest};
@@ -224,6 +225,8 @@
     /// Actions of the current step.
     actions: Vec<Action>,
     configuration: Option<Configuration>,
+    /// Weights of the configuration's customers.
+    weights: Weights,
     directory: Directory,
     groups: BTreeMap<ServiceName, Group>,
     sessions: HashMap<SessionId, Session>,
@@ -269,6 +272,7 @@
             now,
             actions: Vec::new(),
             configuration: None,
+            weights: Weights::default(),
             directory: Directory::default(),
             groups: BTreeMap::new(),
             sessions: HashMap::new(),
@@ -402,6 +406,7 @@
             let group = self.groups.entry(service.name.clone()).or_default();
             group.max_connections = service.connections;
         }
+        self.weights = configuration.customers.as_ref().map(Weights::new).unwrap_or_default();
         self.configuration = Some(configuration);
         self.update_own_services();
         self.resolve_starting_sessions(true);
--- a/crates/router/src/router/record.rs
+++ b/crates/router/src/router/record.rs
@@ -1,4 +1,4 @@
-//! Log lines and metrics of requests.
+//! Log lines and metrics of requests, and the accounts of customers.
 //!
 //! The line of a failed request has the state on which the decision was based: the primary and its
 //! term, and the ages of the evidence, of the primary's silence and of an outage of the store.
@@ -7,11 +7,32 @@
 use tracing::{debug, info, warn};
 
 use super::Router;
-use crate::connection::Purpose;
-use crate::message::{Answer, EndpointId, Fault, Outcome, SessionId, Time};
+use crate::connection::{Purpose, SentCommand};
+use crate::message::{Answer, EndpointId, Fault, Outcome, ServiceName, SessionId, Time};
 use crate::session::{Need, Operation};
 
 impl Router {
+    /// Charges the customer of a session for a statement that is sent to an endpoint.
+    pub(super) fn record_sent(&mut self, service: &ServiceName, id: SessionId) {
+        let now = self.now;
+        if let Some(session) = self.sessions.get(&id)
+            && let Some(group) = self.groups.get_mut(service)
+        {
+            group.waiting_sessions.record_sent(now, &session.customer);
+        }
+    }
+
+    /// Charges the customer of a session for the slot time of an answered statement.
+    pub(super) fn record_slot_time(&mut self, service: &ServiceName, command: &SentCommand) {
+        let (Purpose::Begin(id) | Purpose::Statement(id, _)) = command.purpose else { return };
+        let slot_time = self.now.saturating_sub(command.sent_at);
+        if let Some(session) = self.sessions.get(&id)
+            && let Some(group) = self.groups.get_mut(service)
+        {
+            group.waiting_sessions.record_answered(self.now, &session.customer, slot_time);
+        }
+    }
+
     /// Records the outcome of a client's statement.
     pub(super) fn record_outcome(
         &self,
--- a/crates/router/src/session.rs
+++ b/crates/router/src/session.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use crate::configuration::Route;
+use crate::customer::CustomerName;
 use crate::message::{
     Access, Answer, ConnectionId, EndpointId, Position, Request, ServiceName, Statement, Time,
     TransactionState,
@@ -35,6 +36,8 @@
 pub struct Session {
     /// Database, once the session has started.
     pub database: Option<String>,
+    /// Customer of the client; none if clients are not identified.
+    pub customer: Option<CustomerName>,
     /// Whether the session is a channel that another node opened; this node then serves it.
     pub is_channel: bool,
     /// Group of the poolers that serve the session; none if this node serves it.
