Pass waiting work in place, and divide failed placements among customers

Cause: with work of 77 customers waiting, each event tried three statements of each and took them out of the queue and back: 0.8 ms an event, which is several times the share of a small node.

Work that finds no connection now stays in its lane, and the dispatch only remembers how far it has passed the lane. The 12 failed placements of a kind are divided among the customers that wait, at least two each, so a dispatch costs about as much with a few customers as without any.

--- a/crates/router/src/admission/queue.rs
+++ b/crates/router/src/admission/queue.rs
@@ -23,6 +23,7 @@
 //! age. A dispatch skips a lane as a whole, so its cost does not grow with the lanes' lengths.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
 
 use super::fairness::{Rank, Usage};
 use crate::customer::CustomerName;
@@ -132,14 +133,14 @@
 /// Waiting work of one group.
 #[derive(Debug, Default)]
 pub struct Queue {
-    entries: BTreeMap<SessionId, Candidate>,
+    entries: BTreeMap<SessionId, Entry>,
+    /// Number of entries of each customer.
+    counts: BTreeMap<Option<CustomerName>, usize>,
     tiers: BTreeMap<Class, Tier>,
     /// Work that is not late, by the time at which it turns late.
     on_time: BTreeSet<(Time, SessionId)>,
-    /// Work that found no connection in the current dispatch.
-    held: BTreeSet<SessionId>,
-    /// Lanes that the current dispatch skips.
-    skipped: Vec<(Class, Option<CustomerName>, Lane)>,
+    /// Lanes of which the current dispatch has passed some work.
+    passed: Vec<(Class, Option<CustomerName>, LaneKey)>,
     usage: Usage,
     /// Placements of fresh work since the last one of overdue work.
     turns: BTreeMap<Class, u32>,
@@ -159,36 +160,68 @@
 }
 
 /// Kind and largest age of the data.
-type Lane = (Kind, Time);
+type LaneKey = (Kind, Time);
 /// Age, with the order of arrival for work of the same time.
 type Place = (Time, u64, SessionId);
 
-/// Work that was taken out of the queue.
+/// Place after all work.
+const END: Place = (Time::MAX, u64::MAX, SessionId::MAX);
+
+/// Work that is to be placed next.
 #[derive(Debug)]
 pub struct Candidate {
     /// The work.
     pub work: Work,
     class: Class,
-    sequence: u64,
-    /// Whether the work was taken as overdue, before fresh work.
+    place: Place,
+    added_at: u64,
+    /// Whether the work goes before fresh work because it is overdue.
     has_turn: bool,
 }
 
-impl Candidate {
-    fn lane(&self) -> Lane {
-        (self.work.kind, self.work.staleness)
+#[derive(Debug)]
+struct Entry {
+    work: Work,
+    class: Class,
+    sequence: u64,
+    /// Sequence number of the last [`Queue::add`].
+    added_at: u64,
+}
+
+impl Work {
+    fn lane(&self) -> LaneKey {
+        (self.kind, self.staleness)
     }
+}
 
+impl Entry {
     fn place(&self) -> Place {
         (self.work.since, self.sequence, self.work.session)
     }
 }
 
+/// Work of one class, customer and kind.
+#[derive(Debug, Default)]
+struct Lane {
+    places: BTreeSet<Place>,
+    /// Last work that the current dispatch has passed.
+    passed: Option<Place>,
+}
+
+impl Lane {
+    fn next(&self) -> Option<&Place> {
+        match self.passed {
+            None => self.places.first(),
+            Some(passed) => self.places.range((Bound::Excluded(passed), Bound::Unbounded)).next(),
+        }
+    }
+}
+
 /// Work of one class.
 #[derive(Debug, Default)]
 struct Tier {
     shares: BTreeMap<Option<CustomerName>, Share>,
-    /// Customers with a lane that is not skipped.
+    /// Customers with work that the current dispatch has not passed.
     order: BTreeSet<(Rank, u64, Option<CustomerName>)>,
 }
 
@@ -198,15 +231,13 @@
     rank: Rank,
     /// Order of arrival among customers of the same rank.
     sequence: u64,
-    lanes: BTreeMap<Lane, BTreeSet<Place>>,
-    skipped: Vec<Lane>,
+    lanes: BTreeMap<LaneKey, Lane>,
 }
 
 impl Share {
-    /// Returns the oldest work of the lanes that are not skipped.
+    /// Returns the oldest work that the current dispatch has not passed.
     fn head(&self) -> Option<Place> {
-        let lanes = self.lanes.iter().filter(|(lane, _)| !self.skipped.contains(lane));
-        lanes.filter_map(|(_, places)| places.first()).min().copied()
+        self.lanes.values().filter_map(Lane::next).min().copied()
     }
 }
 
@@ -228,30 +259,36 @@
     /// Adds the work of a session, or replaces it, at `now`. `weight` is the weight of its customer.
     pub fn add(&mut self, now: Time, work: Work, weight: f64) {
         let session = work.session;
-        let mut sequence = self.next_sequence;
-        if let Some(entry) = self.entries.get(&session) {
-            if entry.work == work && !self.held.contains(&session) {
+        let added_at = self.next_sequence;
+        self.next_sequence += 1;
+        let mut sequence = added_at;
+        if let Some(entry) = self.entries.get_mut(&session) {
+            entry.added_at = added_at;
+            if entry.work == work {
                 return;
             }
             sequence = entry.sequence;
             self.remove(session);
         }
-        self.next_sequence += 1;
         if self.usage.set_weight(&work.customer, weight) {
             self.update_rank(&work.customer);
         }
         let class = work.class(now >= work.late_at);
-        let candidate = Candidate { work, class, sequence, has_turn: false };
-        self.entries.insert(session, candidate);
+        *self.counts.entry(work.customer.clone()).or_default() += 1;
+        self.entries.insert(session, Entry { work, class, sequence, added_at });
         self.insert(session);
     }
 
     /// Removes the work of a session, if there is any.
     pub fn remove(&mut self, session: SessionId) {
-        if !self.held.remove(&session) {
-            self.withdraw(session);
+        self.withdraw(session);
+        let Some(entry) = self.entries.remove(&session) else { return };
+        if let Some(count) = self.counts.get_mut(&entry.work.customer) {
+            *count -= 1;
+            if *count == 0 {
+                self.counts.remove(&entry.work.customer);
+            }
         }
-        self.entries.remove(&session);
     }
 
     /// Returns whether no work waits.
@@ -264,6 +301,16 @@
         self.entries.len()
     }
 
+    /// Returns the number of a customer's sessions whose work waits.
+    pub fn count(&self, customer: &Option<CustomerName>) -> usize {
+        self.counts.get(customer).copied().unwrap_or_default()
+    }
+
+    /// Returns the number of customers whose work waits.
+    pub fn customer_count(&self) -> usize {
+        self.counts.len()
+    }
+
     /// Returns the sessions whose work waits.
     pub fn iter(&self) -> impl Iterator<Item = &SessionId> {
         self.entries.keys()
@@ -290,24 +337,25 @@
         }
     }
 
-    /// Takes the next work out of the queue.
-    pub fn take(&mut self) -> Option<Candidate> {
-        let (class, place) = self.next()?;
+    /// Returns the work to be placed next. The caller reports the result by [`finish`](Queue::finish),
+    /// [`hold`](Queue::hold) or [`skip`](Queue::skip).
+    pub fn candidate(&mut self) -> Option<Candidate> {
+        let (class, place) = self.first()?;
         let overdue = self.overdue(class);
-        let (_, _, session) = overdue.unwrap_or(place);
+        let place = overdue.unwrap_or(place);
+        let entry = self.entries.get(&place.2)?;
         self.visited += 1;
-        self.withdraw(session);
-        let mut candidate = self.entries.remove(&session)?;
-        candidate.has_turn = overdue.is_some();
-        if candidate.work.customer.is_some() && !class.is_late {
-            let turns = self.turns.entry(class).or_default();
-            *turns = if candidate.has_turn { 0 } else { *turns + 1 };
-        }
-        Some(candidate)
+        Some(Candidate {
+            work: entry.work.clone(),
+            class: entry.class,
+            place,
+            added_at: entry.added_at,
+            has_turn: overdue.is_some(),
+        })
     }
 
     /// Returns the next work by class, customer and age.
-    fn next(&self) -> Option<(Class, Place)> {
+    fn first(&self) -> Option<(Class, Place)> {
         self.tiers.iter().find_map(|(class, tier)| {
             let (_, _, customer) = tier.order.first()?;
             Some((*class, tier.shares.get(customer)?.head()?))
@@ -331,60 +379,55 @@
         is_overdue.then_some(place)
     }
 
-    /// Puts back work that found no connection. It is not taken again in this dispatch.
-    pub fn hold(&mut self, candidate: Candidate) {
+    /// Removes work that was placed, unless it was added again meanwhile.
+    pub fn finish(&mut self, candidate: &Candidate) {
+        if candidate.work.customer.is_some() {
+            if candidate.has_turn {
+                self.turns.remove(&Class { is_late: false, ..candidate.class });
+            } else if !candidate.class.is_late {
+                *self.turns.entry(candidate.class).or_default() += 1;
+            }
+        }
         let session = candidate.work.session;
-        if self.put_back(candidate) {
-            self.held.insert(session);
+        match self.entries.get(&session) {
+            Some(entry) if entry.added_at == candidate.added_at => self.remove(session),
+            Some(_) => self.hold(candidate),
+            None => {}
         }
     }
 
-    /// Puts back work, and skips the rest of its lane in this dispatch.
-    pub fn skip(&mut self, candidate: Candidate) {
-        let (class, lane) = (candidate.class, candidate.lane());
-        let (session, customer) = (candidate.work.session, candidate.work.customer.clone());
-        if self.put_back(candidate) {
-            self.insert(session);
-        }
-        if let Some(tier) = self.tiers.get_mut(&class) {
-            if let Some(share) = tier.shares.get_mut(&customer) {
-                share.skipped.push(lane);
-            }
-            tier.update(&customer, self.usage.rank(&customer));
-        }
-        self.skipped.push((class, customer, lane));
+    /// Passes work that found no connection in this dispatch.
+    pub fn hold(&mut self, candidate: &Candidate) {
+        self.pass(candidate, candidate.place);
     }
 
-    /// Returns whether the work was put back; newer work of the session may have been added meanwhile.
-    fn put_back(&mut self, mut candidate: Candidate) -> bool {
-        let fresh_class = Class { is_late: false, ..candidate.class };
-        if let Some(turns) = self.turns.get_mut(&fresh_class) {
-            match std::mem::take(&mut candidate.has_turn) {
-                true => *turns = TURNS_PER_OVERDUE - 1,
-                false if candidate.class.is_late || candidate.work.customer.is_none() => {}
-                false => *turns = turns.saturating_sub(1),
-            }
+    /// Passes work, and the rest of its lane, in this dispatch.
+    pub fn skip(&mut self, candidate: &Candidate) {
+        self.pass(candidate, END);
+    }
+
+    fn pass(&mut self, candidate: &Candidate, place: Place) {
+        let (customer, key) = (&candidate.work.customer, candidate.work.lane());
+        let Some(tier) = self.tiers.get_mut(&candidate.class) else { return };
+        let Some(share) = tier.shares.get_mut(customer) else { return };
+        let Some(lane) = share.lanes.get_mut(&key) else { return };
+        if lane.passed.replace(place).is_none() {
+            self.passed.push((candidate.class, customer.clone(), key));
         }
-        let session = candidate.work.session;
-        if self.entries.contains_key(&session) {
-            return false;
+        if share.head().is_none() {
+            tier.order.remove(&(share.rank, share.sequence, customer.clone()));
         }
-        self.entries.insert(session, candidate);
-        true
     }
 
-    /// Ends a dispatch: all work can be taken again.
+    /// Ends a dispatch: all work can be placed again.
     pub fn end_dispatch(&mut self) {
-        for session in std::mem::take(&mut self.held) {
-            self.insert(session);
-        }
-        for (class, customer, lane) in std::mem::take(&mut self.skipped) {
-            if let Some(tier) = self.tiers.get_mut(&class) {
-                if let Some(share) = tier.shares.get_mut(&customer) {
-                    share.skipped.retain(|other| *other != lane);
-                }
-                tier.update(&customer, self.usage.rank(&customer));
+        for (class, customer, key) in std::mem::take(&mut self.passed) {
+            let Some(tier) = self.tiers.get_mut(&class) else { continue };
+            let Some(share) = tier.shares.get_mut(&customer) else { continue };
+            if let Some(lane) = share.lanes.get_mut(&key) {
+                lane.passed = None;
             }
+            tier.order.insert((share.rank, share.sequence, customer));
         }
     }
 
@@ -419,9 +462,8 @@
             rank,
             sequence: entry.sequence,
             lanes: BTreeMap::new(),
-            skipped: Vec::new(),
         });
-        share.lanes.entry(entry.lane()).or_default().insert(entry.place());
+        share.lanes.entry(entry.work.lane()).or_default().places.insert(entry.place());
         tier.update(&entry.work.customer, rank);
     }
 
@@ -431,11 +473,11 @@
         self.on_time.remove(&(entry.work.late_at, session));
         let Some(tier) = self.tiers.get_mut(&entry.class) else { return };
         if let Some(share) = tier.shares.get_mut(&entry.work.customer)
-            && let Some(places) = share.lanes.get_mut(&entry.lane())
+            && let Some(lane) = share.lanes.get_mut(&entry.work.lane())
         {
-            places.remove(&entry.place());
-            if places.is_empty() {
-                share.lanes.remove(&entry.lane());
+            lane.places.remove(&entry.place());
+            if lane.places.is_empty() {
+                share.lanes.remove(&entry.work.lane());
             }
         }
         tier.update(&entry.work.customer, self.usage.rank(&entry.work.customer));
--- a/crates/router/src/router/dispatch.rs
+++ b/crates/router/src/router/dispatch.rs
@@ -27,11 +27,10 @@
 /// capacity for writes.
 const PRIMARY_PENALTY: Time = Time::from_millis(10);
 /// Number of failed placements after which a dispatch skips a group's remaining work of the same
-/// kind.
+/// kind. Customers whose work waits share them, so that an event costs as much with many customers.
 const MAX_FAILED_PLACEMENTS: usize = 12;
-/// The same for the work of one customer: with tens of customers, more attempts would visit hundreds of
-/// entries at each event.
-const MAX_FAILED_PLACEMENTS_PER_CUSTOMER: usize = 3;
+/// Least share of one customer: one statement may wait for another reason, such as a replica that lags.
+const MIN_FAILED_PLACEMENTS: usize = 2;
 /// Share of the drain time after which a draining endpoint gets no new work. The directory may
 /// report the drain late by one watch of the store, which lasts less than half of the drain time.
 const DRAIN_SHARE: f64 = 0.4;
@@ -59,29 +58,31 @@
         let waiting = group.waiting_sessions.len();
         group.waiting_at_dispatch = waiting;
         group.waiting_sessions.start_dispatch(now);
+        let share = MAX_FAILED_PLACEMENTS / group.waiting_sessions.customer_count();
+        let limit = share.max(MIN_FAILED_PLACEMENTS);
         let mut failed_placements: BTreeMap<(Kind, Option<CustomerName>), usize> = BTreeMap::new();
         // Work that is queued again while others are placed waits for the next dispatch.
         for _ in 0..waiting {
             let Some(group) = self.groups.get_mut(service) else { return };
-            let Some(candidate) = group.waiting_sessions.take() else { break };
+            let Some(candidate) = group.waiting_sessions.candidate() else { break };
             let (id, customer) = (candidate.work.session, candidate.work.customer.clone());
-            let limit = match customer {
-                Some(_) => MAX_FAILED_PLACEMENTS_PER_CUSTOMER,
-                None => MAX_FAILED_PLACEMENTS,
-            };
             let kind = self.kind_of(service, id);
             let failure_count = failed_placements.entry((kind, customer)).or_default();
             // After several placements of one kind have found no connection, the rest of the
             // customer's work would fail too.
             let is_skipped = *failure_count >= limit;
-            if !is_skipped && self.place(service, id) == Placement::Done {
-                continue;
-            }
-            *failure_count += 1;
+            let placement = match is_skipped {
+                true => Placement::StillWaiting,
+                false => self.place(service, id),
+            };
             let Some(group) = self.groups.get_mut(service) else { return };
-            match is_skipped {
-                true => group.waiting_sessions.skip(candidate),
-                false => group.waiting_sessions.hold(candidate),
+            match placement {
+                Placement::Done => group.waiting_sessions.finish(&candidate),
+                Placement::StillWaiting if is_skipped => group.waiting_sessions.skip(&candidate),
+                Placement::StillWaiting => {
+                    *failure_count += 1;
+                    group.waiting_sessions.hold(&candidate);
+                }
             }
         }
         if let Some(group) = self.groups.get_mut(service) {
