--- a/crates/router/src/admission/fairness.rs
+++ b/crates/router/src/admission/fairness.rs
@@ -10,7 +10,7 @@
 //!
 //! All usage decays at the same rate, so the order of two customers changes only when one of them is
 //! charged. An account holds the logarithm of its usage at a fixed reference time, which grows by one
-//! each [`DECAY_TIME`] and cannot overflow.
+//! each `DECAY_TIME` and cannot overflow.
 
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashMap};
--- a/crates/router/src/admission/queue.rs
+++ b/crates/router/src/admission/queue.rs
@@ -11,8 +11,8 @@
 //! 4. the customer with the least recent usage (see [`fairness`](super::fairness));
 //! 5. age.
 //!
-//! Late answers still have value, so late work must not starve. Of [`TURNS_PER_OVERDUE`] placements of
-//! one priority, the last goes to late work of the same priority that has waited for [`OVERDUE_SHARE`]
+//! Late answers still have value, so late work must not starve. Of `TURNS_PER_OVERDUE` placements of
+//! one priority, the last goes to late work of the same priority that has waited for `OVERDUE_SHARE`
 //! of its time limit, provided that its customer has used no more than the customer whose fresh work
 //! it precedes. A customer above its share thus delays only its own work. Work without a customer has
 //! no such turns, and its open transactions do not go first: its order is (late, priority, age). In a
@@ -33,8 +33,9 @@
 const LATE_SHARE: f64 = 0.6;
 /// Share of the time limit after which late work is overdue: a quarter is left to serve it.
 const OVERDUE_SHARE: f64 = 0.75;
-/// Number of placements of one priority of which one goes to overdue work. With 8, four to five percent
-/// more of the statements outside of transactions were late in a replay, for about as many commits.
+/// Number of placements of one priority of which one goes to overdue work. With 8, 4 to 5
+/// percentage points more of the statements outside of transactions were late in a replay, for about as
+/// many commits.
 const TURNS_PER_OVERDUE: u32 = 16;
 
 /// Kind of waiting work. Kinds are kept apart because one may find a connection where another does
--- a/crates/router/tests/queue.rs
+++ b/crates/router/tests/queue.rs
@@ -95,6 +95,29 @@
     assert_eq!(order, [9, 10, 11, 12, 13, 14, 15, 16, 1, 2, 3, 4, 5, 6, 7, 0, 8]);
 }
 
+/// Guards against work that is not tried because the work of another customer found no connection.
+#[test]
+fn skipped_work_of_one_customer_does_not_stop_another() {
+    let mut queue = Queue::default();
+    for session in 0..40 {
+        let name = if session < 20 { "a" } else { "b" };
+        queue.add(START, work(session, START).with_customer(customer(name)), 1.0);
+    }
+    queue.start_dispatch(START);
+    let mut placed = 0;
+    while let Some(candidate) = queue.candidate() {
+        if candidate.work.customer == customer("a") {
+            queue.skip(&candidate);
+        } else {
+            placed += 1;
+            queue.finish(&candidate);
+        }
+    }
+    queue.end_dispatch();
+    assert_eq!((placed, queue.len(), queue.count(&customer("a"))), (20, 20, 20));
+    assert!(queue.candidate().is_some(), "skipped work is tried again in the next dispatch");
+}
+
 /// Returns the entries that the rule before this queue compares and visits at one event: it looks for
 /// the new session in the list, sorts the list and goes through all of it.
 fn visited_by_sorting(waiting: &[Work], now: Duration) -> u64 {
