--- a/crates/router/src/admission/mod.rs
+++ b/crates/router/src/admission/mod.rs
@@ -1,5 +1,7 @@
 //! Decisions on load, each for one load pattern and free of sessions and connections.
 
+pub mod fairness;
 pub mod outlier;
+pub mod queue;
 pub mod retry;
 pub mod wait;
--- a/crates/router/src/group.rs
+++ b/crates/router/src/group.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 
 use crate::admission::outlier::Monitor;
+use crate::admission::queue::Queue;
 use crate::admission::retry::Crowd;
 use crate::admission::wait::{Estimator, Kind};
 use crate::customer::{CustomerName, KeyDigest};
@@ -82,7 +83,7 @@
     /// Answers that wait for evidence, or for a replica to hold a commit.
     pub pending_answers: Vec<PendingAnswer>,
     /// Sessions whose statement or transaction waits for a connection.
-    pub waiting_sessions: Vec<SessionId>,
+    pub waiting_sessions: Queue,
     /// Clients that were refused lately.
     pub crowd: Crowd,
     /// Outcomes of statements by endpoint, and ejected endpoints.
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -40,6 +40,7 @@
 use tamarackbend_policy::code::Code;
 use tracing::{info, warn};
 
+use crate::admission::fairness::Weights;
 use crate::configuration::{Configuration, Route};
 use crate::connection::{Connection, Purpose, SentCommand};
 use crate::customer::{CustomerName, KeyDigest};
@@ -245,6 +246,8 @@
     /// Actions of the current step.
     actions: Vec<Action>,
     configuration: Option<Configuration>,
+    /// Weights of the configuration's customers.
+    weights: Weights,
     directory: Directory,
     groups: BTreeMap<ServiceName, Group>,
     sessions: HashMap<SessionId, Session>,
@@ -294,6 +297,7 @@
             now,
             actions: Vec::new(),
             configuration: None,
+            weights: Weights::default(),
             directory: Directory::default(),
             groups: BTreeMap::new(),
             sessions: HashMap::new(),
@@ -433,6 +437,7 @@
             group.max_connections = service.connections;
         }
         self.seen_version = self.seen_version.max(configuration.version);
+        self.weights = configuration.customers.as_ref().map(Weights::new).unwrap_or_default();
         self.configuration = Some(configuration);
         self.update_own_services();
         self.update_limits();
--- a/crates/router/src/router/overload.rs
+++ b/crates/router/src/router/overload.rs
@@ -8,7 +8,7 @@
 
 use super::Router;
 use super::clients::staleness_bound;
-use super::dispatch::LATE_SHARE;
+use crate::admission::queue::LATE_SHARE;
 use crate::admission::wait::{Kind, Pace};
 use crate::group::Group;
 use crate::message::{EndpointId, Fault, ServiceName, SessionId, Time};
@@ -68,7 +68,7 @@
         let is_check_due = now >= group.next_wait_check_at;
         let mut queue = Vec::new();
         let mut is_waiting = [false; Kind::ALL.len()];
-        for id in &group.waiting_sessions {
+        for id in group.waiting_sessions.iter() {
             let Some(operation) = self.waiting_operation(*id) else { continue };
             let kind = kind_of(operation);
             is_waiting[kind as usize] = true;
@@ -141,9 +141,12 @@
     }
 
     /// Returns whether waits can be estimated: the endpoints of a database have a primary that has not
-    /// been silent or replaced lately.
+    /// been silent or replaced lately. With customers, work of one may be served before or after that of
+    /// another, so the place of a statement in the queue does not tell its wait.
     fn estimates_waits(&self, group: &Group) -> bool {
-        self.now >= group.wait_estimates_after && self.has_steady_primary(group)
+        !self.settings.has_customers
+            && self.now >= group.wait_estimates_after
+            && self.has_steady_primary(group)
     }
 
     fn has_steady_primary(&self, group: &Group) -> bool {
