--- a/crates/router/src/limit/account.rs
+++ b/crates/router/src/limit/account.rs
@@ -1,7 +1,5 @@
 //! One customer's limit at one holder.
 
-use std::time::Duration;
-
 use super::bucket::Bucket;
 use super::demand::Demand;
 use super::loans::Loans;
@@ -97,18 +95,13 @@
         self.resize(now);
     }
 
-    /// Charges one operation; returns the delay after which it may run, at most `max_delay`.
-    pub(super) fn admit(
-        &mut self,
-        now: Time,
-        key: u64,
-        max_delay: Duration,
-    ) -> Result<Duration, RetryAfter> {
+    /// Charges one operation.
+    pub(super) fn admit(&mut self, now: Time, key: u64) -> Result<(), RetryAfter> {
         self.advance(now);
         self.demand.record(now);
-        if let Some(delay) = self.bucket.take_within(max_delay) {
+        if self.bucket.take() {
             self.crowd.record_served(now);
-            return Ok(delay);
+            return Ok(());
         }
         Err(self.crowd.refuse(now, self.bucket.wait(MAX_WAIT), key))
     }
--- a/crates/router/src/limit/bucket.rs
+++ b/crates/router/src/limit/bucket.rs
@@ -34,19 +34,13 @@
         self.level = self.level.min(capacity);
     }
 
-    /// Takes a token, if it is there within `max_delay` at the current rate; returns the time until then.
-    /// Tokens that are taken before they are there make the level negative.
-    pub(super) fn take_within(&mut self, max_delay: Duration) -> Option<Duration> {
-        let delay = match self.level >= 1.0 {
-            true => Duration::ZERO,
-            false if max_delay.is_zero() || self.capacity < 1.0 => return None,
-            false => Duration::try_from_secs_f64((1.0 - self.level) / self.rate).ok()?,
-        };
-        if delay > max_delay {
-            return None;
+    /// Takes a token; returns whether there was one.
+    pub(super) fn take(&mut self) -> bool {
+        let has_token = self.level >= 1.0;
+        if has_token {
+            self.level -= 1.0;
         }
-        self.level -= 1.0;
-        Some(delay)
+        has_token
     }
 
     /// Returns the time until there is a token at the current rate, at most `max`.
@@ -68,7 +62,7 @@
 
     /// Returns the filled part of the capacity.
     pub(super) fn filled_part(&self) -> f64 {
-        if self.capacity > 0.0 { (self.level / self.capacity).max(0.0) } else { 0.0 }
+        if self.capacity > 0.0 { self.level / self.capacity } else { 0.0 }
     }
 
     pub(super) fn filled_at(&self) -> Time {
--- a/crates/router/src/limit/ledger.rs
+++ b/crates/router/src/limit/ledger.rs
@@ -64,8 +64,7 @@
         self.active.retain(|name| self.accounts.contains_key(name));
     }
 
-    /// Charges one operation of a customer, which may run at once; customers without a limit are always
-    /// admitted.
+    /// Charges one operation of a customer; customers without a limit are always admitted.
     ///
     /// # Errors
     ///
@@ -77,31 +76,15 @@
         customer: &CustomerName,
         key: u64,
     ) -> Result<(), RetryAfter> {
-        self.admit_within(now, customer, key, Duration::ZERO).map(|_| ())
-    }
-
-    /// Charges one operation of a customer, and returns the delay after which it may run: the time until
-    /// there are tokens for it, at most `max_delay`.
-    ///
-    /// # Errors
-    ///
-    /// As for [`Ledger::admit`].
-    pub fn admit_within(
-        &mut self,
-        now: Time,
-        customer: &CustomerName,
-        key: u64,
-        max_delay: Duration,
-    ) -> Result<Duration, RetryAfter> {
         if let Some(account) = self.accounts.get_mut(customer) {
             if !self.active.contains(customer) {
                 self.active.insert(customer.clone());
             }
-            return account.admit(now, key, max_delay);
+            return account.admit(now, key);
         }
         match self.without_share.get_mut(customer) {
             Some(crowd) => Err(crowd.refuse(now, RETRY_WITHOUT_SHARE, key)),
-            None => Ok(Duration::ZERO),
+            None => Ok(()),
         }
     }
 
--- a/crates/router/src/router/clients.rs
+++ b/crates/router/src/router/clients.rs
@@ -40,7 +40,7 @@
                 self.fail_transaction(id);
                 self.refuse(id, Fault::Malformed, Code::BadMessage, None);
             }
-            Request::Reset if session.is_busy() && session.backlog.len() < MAX_BACKLOG => {
+            Request::Reset if session.current.is_some() && session.backlog.len() < MAX_BACKLOG => {
                 session.backlog.push_back(Request::Reset);
             }
             Request::Reset => {
@@ -49,7 +49,7 @@
                 self.reply_complete(id);
             }
             Request::Statement { id: statement_id, statement, floor } => {
-                if session.is_busy() && session.backlog.len() < MAX_BACKLOG {
+                if session.current.is_some() && session.backlog.len() < MAX_BACKLOG {
                     let request = Request::Statement { id: statement_id, statement, floor };
                     session.backlog.push_back(request);
                     return;
@@ -58,7 +58,7 @@
                     self.raise_floor(id, floor);
                 }
                 let Some(session) = self.sessions.get(&id) else { return };
-                if session.database.is_none() || session.is_busy() {
+                if session.database.is_none() || session.current.is_some() {
                     self.reject_session(id, Fault::Malformed, Code::BadMessage);
                     return;
                 }
@@ -104,20 +104,7 @@
             }
             return;
         }
-        if self.hold_to_limit(id, &statement_id, &statement) {
-            return;
-        }
-        self.handle_admitted_statement(id, statement_id, statement);
-    }
-
-    /// Handles a statement that the limit of its customer allows now.
-    pub(super) fn handle_admitted_statement(
-        &mut self,
-        id: SessionId,
-        statement_id: String,
-        statement: Statement,
-    ) {
-        if self.refuse_revoked(id) {
+        if self.refuse_over_limit(id, &statement_id, &statement) {
             return;
         }
         let Some(session) = self.sessions.get_mut(&id) else { return };
--- a/crates/router/src/router/customers.rs
+++ b/crates/router/src/router/customers.rs
@@ -9,7 +9,7 @@
 use crate::customer::{CustomerName, KeyDigest};
 use crate::limit;
 use crate::membership::{self, Peer};
-use crate::message::{ConnectionId, Fault, Introduction, ServiceName, SessionId, Statement, Time};
+use crate::message::{ConnectionId, Fault, Introduction, ServiceName, SessionId, Statement};
 use crate::session::{Phase, Stage};
 
 impl Router {
@@ -110,13 +110,9 @@
         true
     }
 
-    /// Delays or refuses a statement that begins an operation of a customer that is over its limit;
-    /// returns whether it did.
-    ///
-    /// Load pattern: a customer sends somewhat more than its limit for some seconds. Refused clients
-    /// return at once and increase the load, while a short delay lets all of them be served at the rate of
-    /// the limit. What the limit does not allow within half of the statement's time limit is refused.
-    pub(super) fn hold_to_limit(
+    /// Refuses a statement that begins an operation of a customer that is over its limit; returns whether
+    /// it did.
+    pub(super) fn refuse_over_limit(
         &mut self,
         id: SessionId,
         statement_id: &str,
@@ -134,34 +130,9 @@
             return false;
         };
         let key = xxhash_rust::xxh3::xxh3_64(statement_id.as_bytes());
-        let database = session.database.as_deref().unwrap_or_default();
-        let max_delay = self.route(database).map_or(Time::ZERO, |route| route.timeout / 2);
-        match self.admit_operation(&customer, key, max_delay) {
-            Ok(delay) if delay.is_zero() => false,
-            Ok(delay) => {
-                self.delayed_sessions.insert((self.now + delay, id));
-                if let Some(session) = self.sessions.get_mut(&id) {
-                    session.delayed = Some((statement_id.to_owned(), statement.clone()));
-                }
-                true
-            }
-            Err(retry_after) => {
-                self.refuse(id, Fault::OverLimit, Code::OverLimit, Some(retry_after));
-                true
-            }
-        }
-    }
-
-    /// Runs the delayed statements that are due.
-    pub(super) fn resume_delayed_sessions(&mut self) {
-        while let Some((_, id)) = self.delayed_sessions.first().copied().filter(|f| f.0 <= self.now)
-        {
-            self.delayed_sessions.pop_first();
-            let delayed = self.sessions.get_mut(&id).and_then(|session| session.delayed.take());
-            if let Some((statement_id, statement)) = delayed {
-                self.handle_admitted_statement(id, statement_id, statement);
-            }
-        }
+        let Err(retry_after) = self.admit_operation(&customer, key) else { return false };
+        self.refuse(id, Fault::OverLimit, Code::OverLimit, Some(retry_after));
+        true
     }
 
     /// Applies this node's shares of the limits after a change of the configuration or of the fleet.
--- a/crates/router/src/router/limits.rs
+++ b/crates/router/src/router/limits.rs
@@ -72,28 +72,18 @@
         info!(held, others, "limits of customers applied");
     }
 
-    /// Charges one operation of `customer` to this node's share of the customer's limit, and returns the
-    /// delay after which it may run, at most `max_delay`. `key` is a hash of the operation's id, which
-    /// spreads the retries of refused operations.
+    /// Charges one operation of `customer` to this node's share of the customer's limit. `key` is a hash
+    /// of the operation's id, which spreads the retries of refused operations.
     ///
     /// # Errors
     ///
     /// Returns the delay before a retry if the customer is over its limit at this node.
-    pub fn admit_operation(
-        &mut self,
-        customer: &CustomerName,
-        key: u64,
-        max_delay: Time,
-    ) -> Result<Time, RetryAfter> {
+    pub fn admit_operation(&mut self, customer: &CustomerName, key: u64) -> Result<(), RetryAfter> {
         if !self.settings.has_customers {
-            return Ok(Time::ZERO);
+            return Ok(());
         }
-        let result = self.limits.ledger.admit_within(self.now, customer, key, max_delay);
-        let outcome = match &result {
-            Ok(delay) if delay.is_zero() => "admitted",
-            Ok(_) => "delayed",
-            Err(_) => "refused",
-        };
+        let result = self.limits.ledger.admit(self.now, customer, key);
+        let outcome = if result.is_ok() { "admitted" } else { "refused" };
         let label = self.limits.label(customer).to_string();
         counter!("customer_operations_total", "customer" => label, "outcome" => outcome)
             .increment(1);
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -271,8 +271,6 @@
     own_services: BTreeSet<ServiceName>,
     /// Sessions whose database is not known yet, and when each started.
     starting_sessions: Vec<(SessionId, Time)>,
-    /// Sessions whose statement is delayed, by the time at which it may run.
-    delayed_sessions: BTreeSet<(Time, SessionId)>,
     /// Sessions that were answered in this step and have more requests queued.
     answered_sessions: Vec<SessionId>,
     /// Groups whose waiting work may be placed now.
@@ -315,7 +313,6 @@
             is_pooler: None,
             own_services: BTreeSet::new(),
             starting_sessions: Vec::new(),
-            delayed_sessions: BTreeSet::new(),
             answered_sessions: Vec::new(),
             dirty: BTreeSet::new(),
             refreshed_at: None,
@@ -372,7 +369,6 @@
             Event::Stop => self.start_shutdown(),
             Event::Tick => self.tick(),
         }
-        self.resume_delayed_sessions();
         self.resume_answered_sessions();
         self.dispatch_all();
         std::mem::take(&mut self.actions)
@@ -380,12 +376,11 @@
 
     /// Returns whether work waits or a failover is in progress, so that ticks should be frequent.
     pub fn is_busy(&self) -> bool {
-        !self.delayed_sessions.is_empty()
-            || self.groups.values().any(|group| {
-                !group.waiting_sessions.is_empty()
-                    || !group.pending_answers.is_empty()
-                    || group.failover.is_some()
-            })
+        self.groups.values().any(|group| {
+            !group.waiting_sessions.is_empty()
+                || !group.pending_answers.is_empty()
+                || group.failover.is_some()
+        })
     }
 
     fn advance_clock(&mut self, now: Time) {
--- a/crates/router/src/router/stopping.rs
+++ b/crates/router/src/router/stopping.rs
@@ -56,7 +56,7 @@
         let idle: Vec<SessionId> = self
             .sessions
             .iter()
-            .filter(|(_, session)| !session.is_busy() && session.transaction.is_none())
+            .filter(|(_, session)| session.current.is_none() && session.transaction.is_none())
             .map(|(id, _)| *id)
             .collect();
         for id in idle {
--- a/crates/router/src/session.rs
+++ b/crates/router/src/session.rs
@@ -58,8 +58,6 @@
     pub last_commits: HashMap<ServiceName, Position>,
     /// Open or failed transaction.
     pub transaction: Option<Transaction>,
-    /// Statement that waits until the limit of its customer allows it, and the id that the client gave it.
-    pub delayed: Option<(String, Statement)>,
     /// Statement in progress.
     pub current: Option<Operation>,
     /// Serial number of the last operation; answers to earlier operations are ignored.
@@ -227,11 +225,6 @@
         }
     }
 
-    /// Returns whether the client waits for the answer to a statement.
-    pub fn is_busy(&self) -> bool {
-        self.current.is_some() || self.delayed.is_some()
-    }
-
     /// Returns whether the current statement waits to be sent, and no statement of its transaction was
     /// sent either.
     pub fn has_unsent_statement(&self) -> bool {
