Spread a part of large bursts over the window of the limit

Cause: a customer that is over its limit for some seconds got little more than its rate, although the rule allows the rate and the burst in each window. A bucket now holds a quarter of a large burst, and the rest is spread over the window; their sum in a window stays as it was.

--- a/crates/router/src/limit/account.rs
+++ b/crates/router/src/limit/account.rs
@@ -46,6 +46,9 @@
 /// Limit, share, tokens and loans of one customer.
 #[derive(Debug)]
 pub(super) struct Account {
+    /// Limit of the configuration.
+    configured: Limit,
+    /// The same, with a part of its burst spread over the window.
     limit: Limit,
     share: Share,
     base: f64,
@@ -64,7 +67,8 @@
     /// Returns the account of a node that has just become a holder.
     pub(super) fn new(now: Time, limit: Limit, share: Share, settings: &Settings) -> Account {
         let mut account = Account {
-            limit,
+            configured: limit,
+            limit: settings.spread(limit),
             base: settings.base(share.rank),
             tolerance: settings.tolerance(share.rank),
             share,
@@ -90,7 +94,8 @@
             self.base = base;
             self.tolerance = settings.tolerance(share.rank);
         }
-        self.limit = limit;
+        self.configured = limit;
+        self.limit = settings.spread(limit);
         self.share = share;
         self.resize(now);
     }
@@ -172,7 +177,7 @@
         self.advance(now);
         let taken_at = self.loans.oldest_taken_at();
         Summary {
-            limit: self.limit,
+            limit: self.configured,
             share: self.share_in_use(now),
             base: self.base,
             tokens: self.bucket.level(),
--- a/crates/router/src/limit/mod.rs
+++ b/crates/router/src/limit/mod.rs
@@ -6,9 +6,12 @@
 //! to its fraction of the burst. Fractions hold for any limit, so a change of the limit applies at once
 //! to what was lent before.
 //!
-//! The bound: in a window `w`, all holders together admit at most `rate * w + burst` operations and half
+//! The bound: in the window `w` of the quota rule, all holders together admit at most `rate * w + burst` operations and half
 //! of the tolerance.
 //!
+//! `Settings::spread` moves a part of a large burst to the rate, without a change of that sum; below, rate
+//! and burst are those after it.
+//!
 //! 1. Base shares sum to one, and the operations of the tolerance that belong to the ranks sum to half of
 //!    the tolerance. Neither depends on messages.
 //! 2. A loan counts for the borrower until [`LOAN_VALIDITY`] after the borrower *sent* the request, and
@@ -40,7 +43,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::customer::CustomerName;
+use crate::customer::{CustomerName, Limit};
 use crate::message::{EndpointId, Time};
 
 /// Delay after which a refused operation may be retried.
@@ -57,6 +60,12 @@
 const FIRST_PART: f64 = 0.8;
 /// Part of the tolerance that is used. The rest covers differences between the holders' views.
 const USED_TOLERANCE: f64 = 0.5;
+/// Part of a large burst that buckets hold. The rest of the operations that the quota rule allows in a
+/// window is spread over the window: a customer that is over its limit for longer would otherwise get
+/// little more than its rate.
+const HELD_BURST_PART: f64 = 0.25;
+/// Burst up to which buckets hold all of it. Few operations come at irregular intervals, and need it.
+const SMALL_BURST: f64 = 10.0;
 
 /// Settings of a [`Ledger`].
 #[derive(Clone, Debug, PartialEq)]
@@ -79,6 +88,14 @@
         part / self.regions.max(1) as f64
     }
 
+    /// Returns a rate and a burst that allow as many operations in a window as `limit`, with more of them
+    /// at the rate.
+    fn spread(&self, limit: Limit) -> Limit {
+        let burst = (limit.burst * HELD_BURST_PART).max(SMALL_BURST).min(limit.burst);
+        let rate = limit.rate + (limit.burst - burst) / self.window.as_secs_f64();
+        Limit { rate, burst }
+    }
+
     /// Returns the operations of the tolerance that belong to a holder of `rank`: a whole operation for
     /// a second if there is one for each holder, because a bucket that holds less never admits any, and
     /// the rest for the firsts.
