--- a/crates/router/src/admission/wait.rs
+++ b/crates/router/src/admission/wait.rs
@@ -23,7 +23,7 @@
 /// Factor by which the throughput may exceed the best of the last seconds: other nodes, which share
 /// the endpoints, may get less work.
 pub const SAFETY_FACTOR: f64 = 2.0;
-/// Length of the windows in which throughput is measured: many times the usual service time.
+/// Length of the windows in which throughput is counted: many times the usual service time.
 const WINDOW: Time = Time::from_millis(500);
 /// Number of past windows with waiting work that are kept, four seconds.
 const MAX_WINDOWS: usize = 8;
--- a/crates/router/src/limit/account.rs
+++ b/crates/router/src/limit/account.rs
@@ -12,7 +12,7 @@
 const REQUEST_THRESHOLD: f64 = 0.9;
 /// Factor by which a borrower requests more than its demand, for growth until the next renewal.
 const NEED_FACTOR: f64 = 1.1;
-/// Part by which measured demand varies. A loan is renewed unchanged while it is within this part of what
+/// Part by which demand varies from second to second. A loan is renewed unchanged while it is within this part of what
 /// is available: the lender counts the largest of the valid loans, so variation would waste some of them.
 const DEMAND_NOISE: f64 = 0.15;
 /// Factors of the recent demand, and operations per second above the larger, between which a lender takes
@@ -149,7 +149,7 @@
         let (low, high, excess) = RECENT_RANGE;
         let usual = self.demand.usual(now).clamp(recent * low, recent * high + excess);
         let demand = usual / self.limit.rate;
-        // A bucket less than half full shows that the demand is higher than its measured rate, which is
+        // A bucket less than half full shows that the demand is higher than its rate of the last seconds, which is
         // inexact for small customers.
         let lendable_part = (self.bucket.filled_part() * 2.0).min(1.0);
         let available = (self.settled_base(now) - demand) * lendable_part;
--- a/crates/router/src/limit/loans.rs
+++ b/crates/router/src/limit/loans.rs
@@ -5,7 +5,7 @@
 use super::{LOAN_VALIDITY, Loan, RENEWAL_INTERVAL};
 use crate::message::{EndpointId, Time};
 
-/// Age up to which a request counts when a share is divided: a requester whose last two requests are
+/// Age up to which a request counts when a share is divided: a holder whose last two requests are
 /// missing no longer asks.
 const NEED_VALIDITY: Time = RENEWAL_INTERVAL.saturating_mul(2);
 
@@ -30,7 +30,7 @@
     /// Loans given. A borrower may have several whose answers may or may not have arrived; a later one
     /// is always smaller.
     given: Vec<Grant>,
-    /// Last request of each requester.
+    /// Last request of each other holder.
     needs: BTreeMap<EndpointId, Need>,
     /// Times of this holder's requests whose loans are still valid.
     requests: Vec<Time>,
@@ -104,7 +104,7 @@
     }
 
     /// Records that `borrower` needs a share, and lends it a part of `available`, the share that this
-    /// holder does not need, in proportion to the needs of all requesters. A loan that exceeds that part
+    /// holder does not need, in proportion to the needs of all that asked. A loan that exceeds that part
     /// by less than `noise` is renewed unchanged. Returns the share lent.
     pub(super) fn lend(
         &mut self,
