Shed load of an overloaded group, and try replicas that are behind one read at a time

Both replicas lag (their status reports 20 to 38 s until they have caught up), so the primary's 5 slots serve what 15 did: 230 of 370 statements/s. Around that, three loops used up time and clients: waiting reads went to both replicas every 60 ms (1,200 refusals a second); 72 connections of 12 poolers met 5 slots and a queue of 24, so that statements took 190 ms and half of them were refused as busy, after which a node paused all its work; and work waited until its time limit of 1 s, so that its clients came back with their objective already missed.

Ruled out: a fenced replica (the term was never fenced), positions taken from the wrong endpoint (positions of refused reads were traced: the replicas' applied log stands still), connections (16 to 37 of 82 free).

Change: admission::freshness (a replica that is behind gets one read at a time, with a pause that doubles to 960 ms), admission::concurrency (a window of statements in flight that falls with refusals and response times), admission::shedding (a standing queue of 1.5 s; then work is admitted if the pace of placements reaches it within 0.4 of its objective, the rest is refused at once and may return within the objective). A replica that is behind no longer counts as a peer that makes the primary look slow.

--- a/crates/router/src/admission/queue.rs
+++ b/crates/router/src/admission/queue.rs
@@ -312,6 +312,20 @@
         self.counts.len()
     }
 
+    /// Returns the amount of waiting work of these kinds that is not late and at least as urgent as
+    /// `priority`.
+    pub fn on_time_count(&self, kinds: &[Kind], priority: u32) -> usize {
+        let tiers = self
+            .tiers
+            .iter()
+            .filter(|(class, _)| class.is_not_open && !class.is_late && class.priority <= priority);
+        let lanes = tiers
+            .flat_map(|(_, tier)| tier.shares.values())
+            .flat_map(|share| &share.lanes)
+            .filter(|((kind, _), _)| kinds.contains(kind));
+        lanes.map(|(_, lane)| lane.places.len()).sum()
+    }
+
     /// Returns the sessions whose work waits.
     pub fn iter(&self) -> impl Iterator<Item = &SessionId> {
         self.entries.keys()
--- a/crates/router/src/admission/retry.rs
+++ b/crates/router/src/admission/retry.rs
@@ -36,11 +36,22 @@
     /// Records a statement that is refused at `now`, and returns the delay before its retry: at least
     /// `min_delay`. `key` spreads the delays and differs between statements.
     pub fn refuse(&mut self, now: Time, min_delay: Time, key: u64) -> Time {
+        self.refuse_within(now, min_delay, MAX_SPREAD, key)
+    }
+
+    /// Like [`refuse`](Crowd::refuse), with delays spread over at most `max_spread`.
+    pub fn refuse_within(
+        &mut self,
+        now: Time,
+        min_delay: Time,
+        max_spread: Time,
+        key: u64,
+    ) -> Time {
         self.advance(now);
         self.refused_in_window += 1;
         let refused = f64::from(self.refused_in_window + self.refused_before);
         let rate = self.rate.max(f64::from(self.served_in_window)).max(1.0);
-        let spread = WINDOW.mul_f64(refused / rate).min(MAX_SPREAD);
+        let spread = WINDOW.mul_f64(refused / rate).min(max_spread);
         min_delay + spread.mul_f64(key as f64 / u64::MAX as f64)
     }
 
--- a/crates/router/src/endpoint.rs
+++ b/crates/router/src/endpoint.rs
@@ -3,9 +3,11 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use crate::admission::concurrency::Window;
+use crate::admission::freshness::Freshness;
 use crate::connection::Purpose;
 use crate::directory::Entry;
-use crate::message::{Command, ConnectionId, Position, Status, Time};
+use crate::message::{Command, ConnectionId, Status, Time};
 use crate::settings::{BUSY_PAUSE, MAX_BUSY_PAUSE, RECONNECT_PAUSE};
 
 /// Weight of a new read time in the moving average.
@@ -25,8 +27,8 @@
     pub status: Option<(Time, Status)>,
     /// Since when the endpoint has reported a fenced term above its own, which has no primary yet.
     pub fenced_since: Option<Time>,
-    /// End of the applied log, and when it was reported.
-    pub applied: Option<(Time, Position)>,
+    /// Applied log, and refusals of reads that need more of it.
+    pub freshness: Freshness,
     /// Since when the endpoint has been suspected of having failed.
     pub suspected_since: Option<Time>,
     /// Consecutive attempts to reach the endpoint that failed.
@@ -47,13 +49,12 @@
     pub status_requested_at: Option<Time>,
     /// When the probe that is still unanswered was made.
     pub probe_requested_at: Option<Time>,
+    /// Limit of the statements that this node runs at the endpoint at once.
+    pub window: Window,
     /// End and length of the pause in which the endpoint gets no work, after a refusal as busy.
     pub backoff: Option<(Time, Duration)>,
     /// Rank of a pooler among those of its database; less is better. Zero for database endpoints.
     pub rank: (u64, u64),
-    /// Position that the endpoint refused as not yet applied, and until when it gets no reads that
-    /// need that position or a later one.
-    pub lag_refusal: Option<(Position, Time)>,
 }
 
 impl Endpoint {
@@ -66,7 +67,7 @@
             connections: Vec::new(),
             status: None,
             fenced_since: None,
-            applied: None,
+            freshness: Freshness::default(),
             suspected_since: None,
             failed_attempts: 0,
             last_heard_at: now,
@@ -77,9 +78,9 @@
             average_read_time: expected_read_time,
             status_requested_at: None,
             probe_requested_at: None,
+            window: Window::default(),
             backoff: None,
             rank: (0, 0),
-            lag_refusal: None,
         }
     }
 
@@ -126,12 +127,4 @@
         let correction = (elapsed.as_secs_f64() - average) * READ_TIME_WEIGHT;
         self.average_read_time = Duration::from_secs_f64((average + correction).max(0.0));
     }
-
-    /// Returns whether the endpoint may have applied its log up to `position` at `now`.
-    pub fn may_have_applied(&self, position: Position, now: Time) -> bool {
-        if self.applied.is_some_and(|(_, applied)| applied >= position) {
-            return true;
-        }
-        !self.lag_refusal.is_some_and(|(refused, until)| position >= refused && now < until)
-    }
 }
--- a/crates/router/src/group.rs
+++ b/crates/router/src/group.rs
@@ -6,6 +6,7 @@
 use crate::admission::outlier::Monitor;
 use crate::admission::queue::Queue;
 use crate::admission::retry::Crowd;
+use crate::admission::shedding::Shedder;
 use crate::admission::wait::{Estimator, Kind};
 use crate::customer::{CustomerName, KeyDigest};
 use crate::endpoint::Endpoint;
@@ -90,6 +91,8 @@
     pub outliers: Monitor,
     /// Earliest retry of a read that is overdue at an endpoint without recent unanswered statements.
     pub next_overdue_retry_at: Time,
+    /// Overload by each kind of work.
+    pub shedders: [Shedder; Kind::ALL.len()],
     /// Service times and throughput.
     pub waits: Estimator,
     /// Waiting statements that could still meet their objective at the last check, by kind and
--- a/crates/router/src/router/answers.rs
+++ b/crates/router/src/router/answers.rs
@@ -37,7 +37,7 @@
         let Some(endpoint) = self.endpoint_mut(&service, &endpoint_id) else { return };
         endpoint.record_contact(now);
         if let Some(position) = position {
-            endpoint.applied = Some((now, position));
+            endpoint.freshness.record_applied(now, position);
         }
         if self.is_remote(&service) {
             self.mark_peer_alive(&endpoint_id);
@@ -62,7 +62,7 @@
         if let Some(endpoint) = self.endpoint_mut(&service, &endpoint_id) {
             endpoint.record_contact(now);
             if let Some(position) = answer.position {
-                endpoint.applied = Some((now, position));
+                endpoint.freshness.record_applied(now, position);
             }
         }
         if let Some(position) = answer.position {
@@ -119,7 +119,7 @@
         let Some(session) = self.sessions.get_mut(&id) else { return };
         let has_statement = session.current.is_some();
         let Some(transaction) = &mut session.transaction else { return };
-        let service = transaction.route.service.clone();
+        let (service, floor) = (transaction.route.service.clone(), transaction.floor);
         let Some(fault) = fault else {
             transaction.phase = Phase::Open(origin.connection);
             transaction.opened_at = Some(now);
@@ -140,7 +140,7 @@
         if let Some(connection) = self.connections.get_mut(&origin.connection) {
             connection.transaction_session = None;
         }
-        self.handle_fault(origin, &fault, None);
+        self.handle_fault(origin, &fault, floor.map(Need::Position));
         self.enqueue(&service, id);
     }
 
@@ -173,8 +173,11 @@
         }
         let (need, access) = (operation.need, operation.access);
         self.record_answer(&origin.service, &origin.endpoint, id, origin.command.sent_at);
+        let in_flight = self.in_flight_at(&origin.service, &origin.endpoint);
         if let Some(endpoint) = self.endpoint_mut(&origin.service, &origin.endpoint) {
             endpoint.backoff = None;
+            let response = now.saturating_sub(origin.command.sent_at);
+            endpoint.window.record_answer(now, response, in_flight);
         }
         let Some(session) = self.sessions.get_mut(&id) else { return };
         let Some(operation) = session.current.as_mut() else { return };
@@ -192,7 +195,7 @@
             return;
         }
         let transaction = session.transaction.as_ref();
-        let began_at_floor = transaction.is_some_and(|transaction| transaction.began_at_floor);
+        let began_at_floor = transaction.is_some_and(|transaction| transaction.floor.is_some());
         let has_written = transaction.is_none_or(|transaction| transaction.has_written);
         let opened_at = transaction.and_then(|transaction| transaction.opened_at);
         if began_at_floor || session.serving_group.is_some() {
@@ -505,7 +508,13 @@
                 self.survey(&origin.service);
             }
             Fault::Busy => {
-                if let Some(endpoint) = self.endpoint_mut(&origin.service, &origin.endpoint) {
+                let in_flight = self.in_flight_at(&origin.service, &origin.endpoint);
+                let is_remote = self.is_remote(&origin.service);
+                let Some(endpoint) = self.endpoint_mut(&origin.service, &origin.endpoint) else {
+                    return;
+                };
+                // A node that refuses statements has waited for its endpoints itself.
+                if is_remote || endpoint.window.record_refusal(now, in_flight) {
                     endpoint.back_off(now);
                 }
             }
@@ -514,13 +523,7 @@
                     return;
                 };
                 if let Some(Need::Position(position)) = need {
-                    let refused = match endpoint.lag_refusal {
-                        Some((lowest_refused, until)) if now < until => {
-                            lowest_refused.min(position)
-                        }
-                        _ => position,
-                    };
-                    endpoint.lag_refusal = Some((refused, now + LAGGING_PAUSE));
+                    endpoint.freshness.record_refusal(now, position);
                 }
                 // The replica may be fenced rather than lagging, by a failover that was abandoned.
                 let is_status_old = endpoint
--- a/crates/router/src/router/clients.rs
+++ b/crates/router/src/router/clients.rs
@@ -169,7 +169,7 @@
             received_at: now,
             opened_at: None,
             is_read_only,
-            began_at_floor: false,
+            floor: None,
             phase: Phase::Waiting,
             has_written: false,
             refusal: None,
--- a/crates/router/src/router/dispatch.rs
+++ b/crates/router/src/router/dispatch.rs
@@ -159,6 +159,9 @@
             self.open_best_connection(service, need, &avoided, customer);
             return Placement::StillWaiting;
         };
+        self.record_placed(service, id);
+        let Some(session) = self.sessions.get(&id) else { return Placement::Done };
+        let Some(transaction) = &session.transaction else { return Placement::Done };
         let is_read_only =
             floor.is_some() && (transaction.is_read_only || !self.is_remote(service));
         let begin = Statement::Begin { read_only: is_read_only };
@@ -170,9 +173,12 @@
         }
         if let Some(transaction) = self.sessions.get_mut(&id).and_then(|s| s.transaction.as_mut()) {
             transaction.phase = Phase::Opening(connection);
-            transaction.began_at_floor = floor.is_some();
+            transaction.floor = floor;
         }
         self.send(connection, commands);
+        if let Some(position) = floor {
+            self.record_floor_sent(service, connection, position);
+        }
         self.record_sent(service, id);
         Placement::Done
     }
@@ -195,7 +201,7 @@
             transaction.has_written |= is_write;
         }
         let began_at_floor =
-            session.transaction.as_ref().is_some_and(|transaction| transaction.began_at_floor);
+            session.transaction.as_ref().is_some_and(|transaction| transaction.floor.is_some());
         let service =
             session.transaction.as_ref().map(|transaction| transaction.route.service.clone());
         if let Some(service) = service
@@ -237,6 +243,10 @@
             self.open_best_connection(service, need, &avoided, customer);
             return Placement::StillWaiting;
         };
+        self.record_placed(service, id);
+        let Some(operation) = self.sessions.get_mut(&id).and_then(|s| s.current.as_mut()) else {
+            return Placement::Done;
+        };
         operation.stage = Stage::Sent { connection, sent_at: now };
         operation.attempts += 1;
         if need == Need::ProvenPrimary && !self.is_remote(service) {
@@ -244,7 +254,7 @@
         }
         let min_position = match need {
             Need::Position(position) => {
-                self.record_read_sent(service, connection);
+                self.record_read_sent(service, connection, position);
                 Some(position).filter(is_set)
             }
             _ => None,
@@ -349,6 +359,9 @@
                     continue;
                 }
             }
+            if !group.is_remote && !endpoint.window.admits(self.in_flight(endpoint)) {
+                continue;
+            }
             let free_connections = connections
                 .filter(|c| c.is_free() && (group.is_remote || c.customer == session.customer));
             if let Some(connection) = free_connections.min_by_key(|c| c.setup_cost(&session.values))
@@ -359,6 +372,17 @@
         None
     }
 
+    /// Returns the number of connections to an endpoint with unanswered commands.
+    fn in_flight(&self, endpoint: &Endpoint) -> usize {
+        self.connections_to(endpoint).filter(|c| !c.unanswered.is_empty()).count()
+    }
+
+    /// Returns the number of connections to the endpoint `id` with unanswered commands.
+    pub(super) fn in_flight_at(&self, service: &ServiceName, id: &EndpointId) -> usize {
+        let endpoint = self.groups.get(service).and_then(|group| group.endpoints.get(id));
+        endpoint.map_or(0, |endpoint| self.in_flight(endpoint))
+    }
+
     /// Returns the endpoints that can serve `need`, the best first; of a remote group, only the best.
     pub(super) fn candidates(
         &self,
@@ -414,7 +438,7 @@
                         is_usable(id, endpoint)
                             && (group.is_primary(id)
                                 || (!endpoint.entry.leaving
-                                    && endpoint.may_have_applied(position, now)))
+                                    && endpoint.freshness.may_serve(now, position)))
                     })
                     .map(|(id, endpoint)| {
                         (self.read_cost(endpoint, group.is_primary(id)), id.clone())
@@ -453,7 +477,8 @@
 
     fn read_cost(&self, endpoint: &Endpoint, is_primary: bool) -> Time {
         let expected_time = self.expected_read_time(&endpoint.entry.failure_domain);
-        let is_recent = endpoint.applied.is_some_and(|(at, _)| self.now < at + MAX_RESPONSE_AGE);
+        let is_recent =
+            endpoint.freshness.applied().is_some_and(|(at, _)| self.now < at + MAX_RESPONSE_AGE);
         let read_time = match is_recent {
             true => endpoint.average_read_time.max(expected_time / 2),
             false => endpoint.average_read_time.min(expected_time),
--- a/crates/router/src/router/dump.rs
+++ b/crates/router/src/router/dump.rs
@@ -74,7 +74,7 @@
             "failure_domain": endpoint.entry.failure_domain,
             "leaving_ms": self.age(endpoint.draining_since),
             "silent_ms": self.age(endpoint.suspected_since),
-            "applied": endpoint.applied.map(|(_, position)| position.to_string()),
+            "applied": endpoint.freshness.applied().map(|(_, position)| position.to_string()),
             "received": endpoint.status.map(|(_, status)| status.received.to_string()),
             "held": endpoint.status.map(|(_, status)| status.fenced_term),
             "status_ms": self.age(endpoint.status.map(|(requested_at, _)| requested_at)),
--- a/crates/router/src/router/ejection.rs
+++ b/crates/router/src/router/ejection.rs
@@ -14,7 +14,9 @@
 use crate::connection::Purpose;
 use crate::endpoint::Endpoint;
 use crate::group::Group;
-use crate::message::{Access, ConnectionId, EndpointId, Fault, ServiceName, SessionId, Time};
+use crate::message::{
+    Access, ConnectionId, EndpointId, Fault, Position, ServiceName, SessionId, Time,
+};
 use crate::session::{Need, Operation, Stage};
 use crate::settings::RECONNECT_PAUSE;
 
@@ -123,14 +125,35 @@
     }
 
     /// Records that a read that any endpoint may serve was sent over a connection.
-    pub(super) fn record_read_sent(&mut self, service: &ServiceName, connection: ConnectionId) {
+    pub(super) fn record_read_sent(
+        &mut self,
+        service: &ServiceName,
+        connection: ConnectionId,
+        position: Position,
+    ) {
         let now = self.now;
+        self.record_floor_sent(service, connection, position);
         let Some(connection) = self.connections.get(&connection) else { return };
         if let Some(group) = self.groups.get_mut(service) {
             group.outliers.record_sent(now, &connection.endpoint);
         }
     }
 
+    /// Records that a read or a begin that needs `position` was sent over a connection.
+    pub(super) fn record_floor_sent(
+        &mut self,
+        service: &ServiceName,
+        connection: ConnectionId,
+        position: Position,
+    ) {
+        let now = self.now;
+        let Some(connection) = self.connections.get(&connection) else { return };
+        let endpoint = connection.endpoint.clone();
+        if let Some(endpoint) = self.endpoint_mut(service, &endpoint) {
+            endpoint.freshness.record_sent(now, position);
+        }
+    }
+
     /// Orders the endpoints that can serve a read, of which the cheapest is first, by their standing.
     pub(super) fn order_by_standing(
         &self,
@@ -154,7 +177,10 @@
             .endpoints
             .iter()
             .filter(|(_, e)| {
-                e.suspected_since.is_none() && !is_draining(e) && !e.is_backing_off(now)
+                e.suspected_since.is_none()
+                    && !is_draining(e)
+                    && !e.is_backing_off(now)
+                    && !e.freshness.is_behind()
             })
             .map(|(id, _)| id.clone())
             .collect();
--- a/crates/router/src/router/overload.rs
+++ b/crates/router/src/router/overload.rs
@@ -3,16 +3,18 @@
 //! Statements of transactions are never refused here, and nothing is while the primary is unknown or
 //! being replaced: the wait then ends with the failover.
 
+use metrics::counter;
 use tamarackbend_policy::code::Code;
 use tracing::info;
 
 use super::Router;
 use super::clients::staleness_bound;
-use crate::admission::queue::LATE_SHARE;
+use crate::admission::queue::{self, LATE_SHARE};
 use crate::admission::wait::{Kind, Pace};
+use crate::configuration::Consistency;
 use crate::group::Group;
 use crate::message::{EndpointId, Fault, ServiceName, SessionId, Time};
-use crate::session::{Operation, Session, Stage};
+use crate::session::{Operation, Phase, Session, Stage};
 use crate::settings::RETRY_AFTER_BUSY;
 
 /// Waiting sessions of a group below which the expected wait is not estimated.
@@ -24,6 +26,13 @@
 /// connections without answering is suspected again within this time.
 const STEADY_AFTER: Time = Time::from_secs(1);
 
+/// Wait from which on work counts as part of a standing queue: longer than the round trip after which
+/// another endpoint is tried.
+const MIN_STANDING_WAIT: Time = Time::from_millis(30);
+/// Share of the latency objective over which the delays of shed clients are spread, so that they can
+/// come back within the objective.
+const MAX_RETURN_SHARE: f64 = 0.25;
+
 /// Place of waiting work in the order of service: late, priority, arrival.
 type Place = (bool, u32, Time);
 
@@ -31,6 +40,9 @@
     /// Refuses the statement that a session is about to queue, if it cannot be answered in time.
     /// Returns whether it was refused.
     pub(super) fn refuse_if_hopeless(&mut self, service: &ServiceName, id: SessionId) -> bool {
+        if self.shed(service, id) {
+            return true;
+        }
         let Some(group) = self.groups.get(service) else { return false };
         if group.waiting_sessions.len() < MIN_QUEUE || !self.estimates_waits(group) {
             return false;
@@ -54,6 +66,41 @@
         true
     }
 
+    /// Refuses the statement that a session is about to queue if the group is overloaded and the work
+    /// ahead of the statement has waited for long. Returns whether it was refused.
+    fn shed(&mut self, service: &ServiceName, id: SessionId) -> bool {
+        let now = self.now;
+        let Some(group) = self.groups.get(service) else { return false };
+        let Some((operation, kind)) = self.unplaced_operation(id) else { return false };
+        if !self.estimates_waits(group) {
+            return false;
+        }
+        let (objective, priority) = (operation.route.objective, operation.route.priority);
+        let ahead = group.waiting_sessions.on_time_count(queued_kinds(kind), priority);
+        if group.shedders[kind as usize].admits(ahead, objective) {
+            return false;
+        }
+        let key = xxhash_rust::xxh3::xxh3_64(operation.id.as_bytes());
+        let Some(group) = self.groups.get_mut(service) else { return false };
+        let max_spread = objective.mul_f64(MAX_RETURN_SHARE);
+        let retry_after = group.crowd.refuse_within(now, RETRY_AFTER_BUSY, max_spread, key);
+        counter!("statements_shed_total").increment(1);
+        if self.sessions.get(&id).is_some_and(|session| session.transaction.is_some()) {
+            self.fail_transaction(id);
+        }
+        self.refuse(id, Fault::Busy, Code::Overloaded, Some(retry_after));
+        true
+    }
+
+    /// Records that the waiting work of a session is sent, as long as its connection was not fixed before.
+    pub(super) fn record_placed(&mut self, service: &ServiceName, id: SessionId) {
+        let Some((operation, kind)) = self.unplaced_operation(id) else { return };
+        let waiting_since = operation.received_at;
+        if let Some(group) = self.groups.get_mut(service) {
+            group.shedders[kind as usize].record_placed(self.now, waiting_since);
+        }
+    }
+
     /// Measures the throughput of a group, and refuses waiting work that has become hopeless.
     pub(super) fn check_waits(&mut self, service: &ServiceName) {
         let now = self.now;
@@ -68,13 +115,15 @@
         let is_check_due = now >= group.next_wait_check_at;
         let mut queue = Vec::new();
         let mut is_waiting = [false; Kind::ALL.len()];
+        let mut is_stuck = [false; Kind::ALL.len()];
         for id in group.waiting_sessions.iter() {
             let Some(operation) = self.waiting_operation(*id) else { continue };
             let kind = kind_of(operation);
             is_waiting[kind as usize] = true;
+            is_stuck[kind as usize] |= now >= operation.received_at + MIN_STANDING_WAIT;
             if is_check_due {
                 queue.push((place_of(operation, now), *id, kind, operation.deadline));
-            } else if is_waiting.iter().all(|is_waiting| *is_waiting) {
+            } else if is_stuck.iter().all(|is_stuck| *is_stuck) {
                 break;
             }
         }
@@ -87,6 +136,10 @@
         let Some(group) = self.groups.get_mut(service) else { return };
         for kind in Kind::ALL {
             group.waits.observe(now, kind, is_saturated[kind as usize]);
+            match is_steady {
+                true => group.shedders[kind as usize].observe(now, is_stuck[kind as usize]),
+                false => group.shedders[kind as usize].reset(),
+            }
         }
         if !is_check_due {
             return;
@@ -181,6 +234,7 @@
                 && endpoint.suspected_since.is_none()
                 && !endpoint.is_backing_off(self.now)
                 && !self.is_closed_to_new_work(endpoint)
+                && (group.is_primary(id) || !endpoint.freshness.is_behind())
         });
         endpoints.any(|(_, endpoint)| self.connections_to(endpoint).any(|c| c.is_free()))
     }
@@ -205,12 +259,46 @@
             && session.serving_group.is_none();
         is_waiting.then_some(operation)
     }
+
+    /// Returns the statement of a session that no endpoint has been chosen for, and its kind; it may be
+    /// the first of a transaction.
+    fn unplaced_operation(&self, id: SessionId) -> Option<(&Operation, Kind)> {
+        let session = self.sessions.get(&id)?;
+        let operation = session.current.as_ref()?;
+        if operation.stage != Stage::Waiting || session.serving_group.is_some() {
+            return None;
+        }
+        let kind = match &session.transaction {
+            None => kind_of(operation),
+            Some(transaction) if transaction.phase != Phase::Waiting => return None,
+            Some(transaction) if transaction.is_read_only => {
+                kind_of_read(transaction.route.consistency)
+            }
+            Some(_) => Kind::Primary,
+        };
+        Some((operation, kind))
+    }
+}
+
+/// Returns the kinds under which the queue keeps work of a kind.
+fn queued_kinds(kind: Kind) -> &'static [queue::Kind] {
+    match kind {
+        Kind::Primary => &[queue::Kind::PrimaryOnly, queue::Kind::Begin],
+        Kind::Any => &[queue::Kind::ReplicaRead, queue::Kind::BeginReadOnly],
+    }
+}
+
+fn kind_of_read(consistency: Consistency) -> Kind {
+    match staleness_bound(consistency) {
+        Some(_) => Kind::Any,
+        None => Kind::Primary,
+    }
 }
 
 /// Returns the kind of an operation outside of a transaction.
 pub(super) fn kind_of(operation: &Operation) -> Kind {
-    match operation.is_read() && staleness_bound(operation.route.consistency).is_some() {
-        true => Kind::Any,
+    match operation.is_read() {
+        true => kind_of_read(operation.route.consistency),
         false => Kind::Primary,
     }
 }
--- a/crates/router/src/session.rs
+++ b/crates/router/src/session.rs
@@ -79,9 +79,9 @@
     pub opened_at: Option<Time>,
     /// Whether the transaction must not write.
     pub is_read_only: bool,
-    /// Whether the transaction began at a floor: any endpoint that has applied the floor may serve
-    /// it, and its answers need no evidence.
-    pub began_at_floor: bool,
+    /// Floor at which the transaction began: any endpoint that has applied the floor may serve the
+    /// transaction, and its answers need no evidence. None if only the primary may serve it.
+    pub floor: Option<Position>,
     /// Current phase.
     pub phase: Phase,
     /// Whether a write was sent in the transaction.
