--- a/crates/router/src/admission/retry.rs
+++ b/crates/router/src/admission/retry.rs
@@ -10,7 +10,7 @@
 /// Length of the windows in which refusals and served statements are counted.
 const WINDOW: Time = Time::from_secs(1);
 /// Longest time over which delays are spread; clients give up after a few seconds.
-const MAX_SPREAD: Time = Time::from_secs(2);
+pub const MAX_SPREAD: Time = Time::from_secs(2);
 /// Share of its former value that the known rate keeps from one window to the next without as many
 /// served statements; an outage of some seconds leaves most of it.
 const RATE_DECAY: f64 = 0.9;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod directory;
 pub mod endpoint;
 pub mod evidence;
+pub mod experiment;
 pub mod failover;
 pub mod group;
 pub mod limit;
--- a/crates/router/src/router/answers.rs
+++ b/crates/router/src/router/answers.rs
@@ -12,6 +12,7 @@
 use super::record::fault_label;
 use crate::connection::{Purpose, SentCommand};
 use crate::evidence::Sample;
+use crate::experiment::Mechanism;
 use crate::group::PendingAnswer;
 use crate::message::{
     Access, Answer, ConnectionId, EndpointId, Fault, Outcome, Position, ServiceName, SessionId,
@@ -508,11 +509,14 @@
             Fault::Busy => {
                 let in_flight = self.in_flight_at(&origin.service, &origin.endpoint);
                 let is_remote = self.is_remote(&origin.service);
+                let has_window = self.uses(Mechanism::ConcurrencyWindow);
+                let has_pause = self.uses(Mechanism::BusyPause);
                 let Some(endpoint) = self.endpoint_mut(&origin.service, &origin.endpoint) else {
                     return;
                 };
                 // A node that refuses statements has waited for its endpoints itself.
-                if is_remote || endpoint.window.record_refusal(now, in_flight) {
+                let is_refusing = endpoint.window.record_refusal(now, in_flight);
+                if (is_remote || is_refusing || !has_window) && has_pause {
                     endpoint.back_off(now);
                 }
             }
--- a/crates/router/src/router/clients.rs
+++ b/crates/router/src/router/clients.rs
@@ -9,8 +9,10 @@
 use super::peers::remote_route;
 use super::{Action, Router};
 use crate::admission::queue::{Kind, Work};
+use crate::admission::retry::MAX_SPREAD;
 use crate::configuration::{Consistency, Route};
 use crate::connection::Purpose;
+use crate::experiment::Mechanism;
 use crate::message::{
     Access, Answer, Command, ConnectionId, Fault, Order, Outcome, Position, Request, ServiceName,
     SessionId, Statement, Time, TransactionState,
@@ -153,6 +155,7 @@
 
     fn begin_transaction(&mut self, id: SessionId, is_read_only: bool) {
         let now = self.now;
+        let uses_session_age = self.uses(Mechanism::SessionAge);
         let route = self.session_route(id);
         let Some(session) = self.sessions.get_mut(&id) else { return };
         if session.transaction.is_some() {
@@ -167,7 +170,7 @@
         session.transaction = Some(Transaction {
             route,
             received_at: now,
-            waiting_since: session.waiting_since(now),
+            waiting_since: if uses_session_age { session.waiting_since(now) } else { now },
             opened_at: None,
             is_read_only,
             floor: None,
@@ -182,6 +185,7 @@
 
     fn queue_operation(&mut self, id: SessionId, statement_id: String, statement: Statement) {
         let now = self.now;
+        let uses_session_age = self.uses(Mechanism::SessionAge);
         let route = match self.sessions.get(&id).and_then(|session| session.transaction.as_ref()) {
             Some(transaction) => Some(transaction.route.clone()),
             None => self.session_route(id),
@@ -204,7 +208,7 @@
             self.refuse(id, Fault::ReadOnly, Code::BadMessage, None);
             return;
         }
-        let waiting_since = session.waiting_since(now);
+        let waiting_since = if uses_session_age { session.waiting_since(now) } else { now };
         session.last_serial += 1;
         let service = route.service.clone();
         session.current = Some(Operation {
@@ -233,7 +237,17 @@
     pub(super) fn enqueue(&mut self, service: &ServiceName, id: SessionId) {
         let now = self.now;
         self.dirty.insert(service.clone());
-        let work = self.sessions.get(&id).map_or_else(|| Work::last(id), |s| waiting_work(id, s));
+        let mut work =
+            self.sessions.get(&id).map_or_else(|| Work::last(id), |s| waiting_work(id, s));
+        if !self.uses(Mechanism::LateOrder) {
+            work.late_at = Time::MAX;
+        }
+        if !self.uses(Mechanism::PriorityOrder) {
+            work.priority = 0;
+        }
+        if !self.uses(Mechanism::FairOrder) {
+            work.customer = None;
+        }
         let weight = self.weights.weight(work.customer.as_ref());
         let group = self.groups.entry(service.clone()).or_default();
         group.last_request_at = now;
@@ -313,11 +327,9 @@
             Code::QueueTimeout | Code::NoFreshEndpoint => Some(RETRY_AFTER_BUSY),
             _ => None,
         };
-        let group = self.groups.get_mut(&operation.route.service);
-        let retry_after = min_delay.zip(group).map(|(min_delay, group)| {
-            let key = xxhash_rust::xxh3::xxh3_64(operation.id.as_bytes());
-            group.crowd.refuse(self.now, min_delay, key)
-        });
+        let service = &operation.route.service;
+        let retry_after = min_delay
+            .map(|min_delay| self.retry_delay(service, min_delay, MAX_SPREAD, &operation.id));
         if in_transaction {
             self.fail_transaction(id);
         }
@@ -327,6 +339,22 @@
         self.refuse(id, fault, code, retry_after);
     }
 
+    /// Returns the delay before the retry of a refused statement: at least `min_delay`, and spread over at
+    /// most `max_spread`.
+    pub(super) fn retry_delay(
+        &mut self,
+        service: &ServiceName,
+        min_delay: Time,
+        max_spread: Time,
+        statement: &str,
+    ) -> Time {
+        let (now, is_spread) = (self.now, self.uses(Mechanism::RetrySpread));
+        let Some(group) = self.groups.get_mut(service) else { return min_delay };
+        let key = xxhash_rust::xxh3::xxh3_64(statement.as_bytes());
+        let delay = group.crowd.refuse_within(now, min_delay, max_spread, key);
+        if is_spread { delay } else { min_delay }
+    }
+
     fn unplaced_code(&self, operation: &Operation) -> Code {
         let group = self.groups.get(&operation.route.service);
         let is_reachable = group
--- a/crates/router/src/router/customer_connections.rs
+++ b/crates/router/src/router/customer_connections.rs
@@ -9,6 +9,7 @@
 use super::Router;
 use crate::customer::CustomerName;
 use crate::endpoint::Endpoint;
+use crate::experiment::Mechanism;
 use crate::message::{ConnectionId, EndpointId, ServiceName, Time};
 use crate::settings::MAX_CUSTOMER_CONNECTIONS_PER_ENDPOINT;
 
@@ -59,6 +60,9 @@
             && endpoint.connections.len() < MAX_CUSTOMER_CONNECTIONS_PER_ENDPOINT
             && self.has_unused_connections(endpoint, group.max_connections);
         if endpoint.connections.len() >= limit && !has_room {
+            if !self.uses(Mechanism::ConnectionReuse) {
+                return;
+            }
             let is_report_old =
                 endpoint.status.is_none_or(|(at, _)| self.now >= at + MAX_REPORT_AGE);
             let idle = self.longest_idle_connection(endpoint, |other| *other != customer);
--- a/crates/router/src/router/dispatch.rs
+++ b/crates/router/src/router/dispatch.rs
@@ -13,6 +13,7 @@
 use crate::connection::Purpose;
 use crate::customer::CustomerName;
 use crate::endpoint::Endpoint;
+use crate::experiment::Mechanism;
 use crate::group::Group;
 use crate::message::{
     Access, Command, ConnectionId, EndpointId, Order, Position, ServiceName, SessionId, Statement,
@@ -329,6 +330,9 @@
     ) -> Option<Position> {
         let max_age = staleness_bound(consistency)?;
         let group = self.groups.get(service)?;
+        if !group.is_remote && !self.uses(Mechanism::ReplicaReads) {
+            return None;
+        }
         if group.is_remote {
             let own_commit = session.last_commits.get(service).copied();
             return Some(own_commit.unwrap_or(Position { term: 0, number: 0 }));
@@ -362,7 +366,10 @@
                     continue;
                 }
             }
-            if !group.is_remote && !endpoint.window.admits(self.in_flight(endpoint)) {
+            if !group.is_remote
+                && self.uses(Mechanism::ConcurrencyWindow)
+                && !endpoint.window.admits(self.in_flight(endpoint))
+            {
                 continue;
             }
             let free_connections = connections
@@ -404,11 +411,13 @@
             let ids = group
                 .endpoints
                 .iter()
-                .filter(|(id, endpoint)| is_usable(id, endpoint) && !self.slow_peers.contains(*id));
+                .filter(|(id, endpoint)| is_usable(id, endpoint) && !self.is_slow_peer(id));
             // Nodes that do not reach the store come last: their configuration and directory may be
             // old. A channel to the best node is cheap to open, so no other node is used.
             let best = ids.min_by_key(|(id, endpoint)| {
-                (self.peers_without_store.contains(*id), endpoint.rank, *id)
+                let is_without_store =
+                    self.uses(Mechanism::StoreRank) && self.peers_without_store.contains(*id);
+                (is_without_store, endpoint.rank, *id)
             });
             return best.map(|(id, _)| id.clone()).into_iter().collect();
         }
@@ -441,7 +450,8 @@
                         is_usable(id, endpoint)
                             && (group.is_primary(id)
                                 || (!endpoint.entry.leaving
-                                    && endpoint.freshness.may_serve(now, position)))
+                                    && (!self.uses(Mechanism::LagTrials)
+                                        || endpoint.freshness.may_serve(now, position))))
                     })
                     .map(|(id, endpoint)| {
                         (self.read_cost(endpoint, group.is_primary(id)), id.clone())
@@ -454,11 +464,16 @@
         }
     }
 
+    fn is_slow_peer(&self, id: &EndpointId) -> bool {
+        self.uses(Mechanism::SlowPeers) && self.slow_peers.contains(id)
+    }
+
     /// Returns whether this node is isolated and cannot serve `need`, so that the client should
     /// retry at another node at once.
     fn should_fail_fast(&self, service: &ServiceName, need: Need) -> bool {
         let Some(group) = self.groups.get(service) else { return false };
-        !group.is_remote
+        self.uses(Mechanism::IsolationRefusal)
+            && !group.is_remote
             && !matches!(need, Need::Position(_))
             && self.is_isolated(group)
             && !group.evidence.covers(self.now)
@@ -486,7 +501,8 @@
             true => endpoint.average_read_time.max(expected_time / 2),
             false => endpoint.average_read_time.min(expected_time),
         };
-        read_time + if is_primary { PRIMARY_PENALTY } else { Time::ZERO }
+        let has_penalty = is_primary && self.uses(Mechanism::PrimaryPenalty);
+        read_time + if has_penalty { PRIMARY_PENALTY } else { Time::ZERO }
     }
 
     /// Returns whether a draining endpoint must get no new work.
@@ -528,7 +544,10 @@
     /// the connections of the dead processes for seconds, and a node that took several of the remaining
     /// ones would leave other nodes without any.
     fn leaves_room(&self, group: &Group, endpoint: &Endpoint) -> bool {
-        if self.settings.is_first_start || self.now >= self.started_at + CROWDED_AFTER_START {
+        if !self.uses(Mechanism::RestartConnections)
+            || self.settings.is_first_start
+            || self.now >= self.started_at + CROWDED_AFTER_START
+        {
             return true;
         }
         endpoint.status.is_some_and(|(_, status)| {
--- a/crates/router/src/router/ejection.rs
+++ b/crates/router/src/router/ejection.rs
@@ -13,6 +13,7 @@
 use crate::admission::outlier::{Attempt, Change, OVERFLOW_PER_CONNECTION, Reason};
 use crate::connection::Purpose;
 use crate::endpoint::Endpoint;
+use crate::experiment::Mechanism;
 use crate::group::Group;
 use crate::message::{
     Access, ConnectionId, EndpointId, Fault, Position, ServiceName, SessionId, Time,
@@ -184,6 +185,9 @@
             })
             .map(|(id, _)| id.clone())
             .collect();
+        if !self.experiment.uses(Mechanism::OutlierEjection) {
+            return;
+        }
         let ejected_before = group.outliers.ejected_count();
         group.outliers.retain(|id| group.endpoints.contains_key(id));
         group.waits.retain(|id| group.endpoints.contains_key(id));
@@ -275,7 +279,8 @@
         let peers = group.endpoints.iter().filter(|(id, _)| *id != endpoint);
         let usual_time = peers.map(|(_, peer)| peer.average_read_time).max().unwrap_or(Time::MAX);
         let elapsed = self.now.saturating_sub(sent_at);
-        operation.is_read()
+        self.uses(Mechanism::OverdueRetry)
+            && operation.is_read()
             && session.transaction.is_none()
             && matches!(operation.stage, Stage::Sent { .. })
             && operation.attempts == 1
--- a/crates/router/src/router/limits.rs
+++ b/crates/router/src/router/limits.rs
@@ -12,6 +12,7 @@
 
 use super::{Action, Router};
 use crate::customer::{CustomerName, Limit};
+use crate::experiment::Mechanism;
 use crate::limit::{self, Ledger, Loan, RENEWAL_INTERVAL, Request, RetryAfter, Summary};
 use crate::message::{EndpointId, Time};
 use crate::settings::Settings;
@@ -124,7 +125,7 @@
     /// Requests loans for the customers whose demand exceeds this node's share.
     pub(super) fn tick_limits(&mut self) {
         let is_due = self.limits.ticked_at.is_none_or(|at| self.now >= at + RENEWAL_INTERVAL);
-        if !self.settings.has_customers || !is_due {
+        if !self.settings.has_customers || !is_due || !self.uses(Mechanism::LimitLoans) {
             return;
         }
         self.limits.ticked_at = Some(self.now);
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -51,6 +51,7 @@
 use crate::customer::CustomerName;
 use crate::directory::{self, Directory, Entry};
 use crate::endpoint::Endpoint;
+use crate::experiment::{Experiment, Mechanism};
 use crate::group::Group;
 use crate::membership::{MAX_DIRECT_FLEET_NODES, Peer};
 use crate::message::{
@@ -66,6 +67,7 @@
 #[derive(Debug)]
 pub struct Router {
     settings: Settings,
+    experiment: Experiment,
     /// Time of the current step.
     now: Time,
     /// Actions of the current step.
@@ -119,6 +121,7 @@
         Router {
             limits: limits::State::new(&settings),
             settings,
+            experiment: Experiment::default(),
             now,
             actions: Vec::new(),
             configuration: None,
@@ -150,6 +153,20 @@
         }
     }
 
+    /// Leaves out the mechanisms of an experiment.
+    pub fn with_experiment(mut self, experiment: Experiment) -> Router {
+        let off: Vec<String> = experiment.off().map(|mechanism| mechanism.to_string()).collect();
+        if !off.is_empty() {
+            warn!(?off, "node leaves out mechanisms for an experiment");
+        }
+        self.experiment = experiment;
+        self
+    }
+
+    fn uses(&self, mechanism: Mechanism) -> bool {
+        self.experiment.uses(mechanism)
+    }
+
     /// Applies `event` at the time `now` and returns the actions to carry out, in order.
     pub fn step(&mut self, now: Time, event: Event) -> Vec<Action> {
         self.advance_clock(now);
--- a/crates/router/src/router/overload.rs
+++ b/crates/router/src/router/overload.rs
@@ -10,8 +10,10 @@
 use super::Router;
 use super::clients::staleness_bound;
 use crate::admission::queue::{self, LATE_SHARE};
+use crate::admission::retry::MAX_SPREAD;
 use crate::admission::wait::{Kind, Pace};
 use crate::configuration::Consistency;
+use crate::experiment::Mechanism;
 use crate::group::Group;
 use crate::message::{EndpointId, Fault, ServiceName, SessionId, Time};
 use crate::session::{Operation, Phase, Session, Stage};
@@ -69,7 +71,9 @@
     /// Refuses the statement that a session is about to queue if the group is overloaded and the work
     /// ahead of the statement has waited for long. Returns whether it was refused.
     fn shed(&mut self, service: &ServiceName, id: SessionId) -> bool {
-        let now = self.now;
+        if !self.uses(Mechanism::LoadShedding) {
+            return false;
+        }
         let Some(group) = self.groups.get(service) else { return false };
         let Some((operation, kind)) = self.unplaced_operation(id) else { return false };
         if !self.estimates_waits(group) {
@@ -80,10 +84,9 @@
         if group.shedders[kind as usize].admits(ahead, objective) {
             return false;
         }
-        let key = xxhash_rust::xxh3::xxh3_64(operation.id.as_bytes());
-        let Some(group) = self.groups.get_mut(service) else { return false };
+        let statement = operation.id.clone();
         let max_spread = objective.mul_f64(MAX_RETURN_SHARE);
-        let retry_after = group.crowd.refuse_within(now, RETRY_AFTER_BUSY, max_spread, key);
+        let retry_after = self.retry_delay(service, RETRY_AFTER_BUSY, max_spread, &statement);
         counter!("statements_shed_total").increment(1);
         if self.sessions.get(&id).is_some_and(|session| session.transaction.is_some()) {
             self.fail_transaction(id);
@@ -177,9 +180,8 @@
     ) {
         let now = self.now;
         let Some(operation) = self.waiting_operation(id).cloned() else { return };
-        let Some(group) = self.groups.get_mut(service) else { return };
-        let key = xxhash_rust::xxh3::xxh3_64(operation.id.as_bytes());
-        let retry_after = group.crowd.refuse(now, RETRY_AFTER_BUSY, key);
+        let retry_after = self.retry_delay(service, RETRY_AFTER_BUSY, MAX_SPREAD, &operation.id);
+        let Some(group) = self.groups.get(service) else { return };
         info!(
             request = %operation.id, session = id, %service, kind = ?kind_of(&operation),
             waiting = group.waiting_sessions.len(), ahead, in_flight,
@@ -214,6 +216,9 @@
     /// unless it never has.
     fn pace(&self, group: &Group, kind: Kind) -> Option<Pace> {
         let limit = self.max_connections(group);
+        if !self.uses(Mechanism::ExpectedWait) {
+            return None;
+        }
         let endpoints: Vec<(EndpointId, usize)> = group
             .endpoints
             .iter()
--- a/crates/router/src/router/probes.rs
+++ b/crates/router/src/router/probes.rs
@@ -10,6 +10,7 @@
 
 use super::{Action, Router};
 use crate::connection::Purpose;
+use crate::experiment::Mechanism;
 use crate::group::{Group, PendingAnswer};
 use crate::message::{
     Command, ConnectionId, EndpointId, Order, ServiceName, SessionId, Statement, Time,
@@ -331,6 +332,9 @@
     /// Requests new evidence if the last is old, before an answer of the primary needs it.
     pub(super) fn request_evidence_if_old(&mut self, service: &ServiceName) {
         let now = self.now;
+        if !self.uses(Mechanism::EvidenceRefresh) {
+            return;
+        }
         let Some(group) = self.groups.get(service) else { return };
         if group.evidence.confirmed_at().is_none_or(|at| now >= at + EVIDENCE_REFRESH_AGE) {
             self.request_evidence(service);
