--- a/crates/policy/src/code.rs
+++ b/crates/policy/src/code.rs
@@ -60,6 +60,8 @@
     OverLimit = 2009,
     /// cannot be served before its time limit
     Overloaded = 2010,
+    /// would be late, as the endpoints have been overloaded for seconds
+    Shed = 2011,
     /// write ran but was not confirmed in time
     ConfirmTimeout = 3001,
     /// connection to the endpoint broke while the statement ran
@@ -99,6 +101,7 @@
         Code::NoFreshEndpoint,
         Code::OverLimit,
         Code::Overloaded,
+        Code::Shed,
         Code::ConfirmTimeout,
         Code::ConnectionLost,
         Code::PrimaryReplaced,
@@ -141,7 +144,7 @@
             Code::UnknownKey => "28000",
             Code::TooManyClients | Code::QueueFull | Code::OverLimit => "53300",
             Code::QueueTimeout | Code::NoPrimary | Code::NoFreshEndpoint => "57P03",
-            Code::OwnerUnreachable | Code::Overloaded => "57P03",
+            Code::OwnerUnreachable | Code::Overloaded | Code::Shed => "57P03",
             Code::TransactionLost => "40001",
             Code::Canceled => "57014",
             Code::ConfirmTimeout | Code::ConnectionLost | Code::PrimaryReplaced => "08007",
--- a/crates/router/src/router/overload.rs
+++ b/crates/router/src/router/overload.rs
@@ -84,14 +84,20 @@
         if group.shedders[kind as usize].admits(ahead, objective) {
             return false;
         }
-        let statement = operation.id.clone();
+        let operation = operation.clone();
         let max_spread = objective.mul_f64(MAX_RETURN_SHARE);
-        let retry_after = self.retry_delay(service, RETRY_AFTER_BUSY, max_spread, &statement);
+        let retry_after = self.retry_delay(service, RETRY_AFTER_BUSY, max_spread, &operation.id);
+        info!(
+            request = %operation.id, session = id, %service, ?kind, ahead,
+            objective_ms = objective.as_millis() as u64,
+            retry_after_ms = retry_after.as_millis() as u64,
+            "statement would be late in a lasting overload; refusing it"
+        );
         counter!("statements_shed_total").increment(1);
         if self.sessions.get(&id).is_some_and(|session| session.transaction.is_some()) {
             self.fail_transaction(id);
         }
-        self.refuse(id, Fault::Busy, Code::Overloaded, Some(retry_after));
+        self.refuse(id, Fault::Busy, Code::Shed, Some(retry_after));
         true
     }
 
