--- a/crates/router/src/admission/freshness.rs
+++ b/crates/router/src/admission/freshness.rs
@@ -10,9 +10,8 @@
 //! between trials doubles while they are refused. Reads that need an earlier position are not affected.
 
 use crate::message::{Position, Time};
+use crate::settings::LAGGING_PAUSE;
 
-/// Pause after the first refusal.
-const FIRST_PAUSE: Time = Time::from_millis(60);
 /// Longest pause between two trials; a replica that has caught up is used again after this time.
 const MAX_PAUSE: Time = Time::from_millis(960);
 
@@ -29,6 +28,7 @@
     position: Position,
     /// Earliest next trial.
     next_trial_at: Time,
+    /// Pause after the next refusal is twice as long.
     pause: Time,
 }
 
@@ -54,8 +54,8 @@
                 refusal.next_trial_at = now + refusal.pause;
             }
             None => {
-                let next_trial_at = now + FIRST_PAUSE;
-                self.refusal = Some(Refusal { position, next_trial_at, pause: FIRST_PAUSE });
+                let next_trial_at = now + LAGGING_PAUSE;
+                self.refusal = Some(Refusal { position, next_trial_at, pause: LAGGING_PAUSE });
             }
         }
     }
--- a/crates/router/src/experiment.rs
+++ b/crates/router/src/experiment.rs
@@ -34,7 +34,7 @@
 
 impl std::error::Error for Error {}
 
-/// Decision that can be left out.
+/// Decision that can be left out. Its `Display` is the name in experiment files.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Mechanism {
     /// replica-reads
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -7,6 +7,7 @@
 //! - `customers`, `customer_connections`: identification of clients by their keys, and connections for
 //!   the work of one customer
 //! - `dispatch`: placement of waiting work on endpoints and connections
+//! - `connections`: opening of connections to endpoints
 //! - `event`: events and actions
 //! - `answers`, `proofs`, `losses`: answers of endpoints to clients' statements and to the router's own
 //!   commands, and lost connections
@@ -20,6 +21,7 @@
 
 mod answers;
 mod clients;
+mod connections;
 mod customer_connections;
 mod customers;
 mod dispatch;
--- a/crates/router/src/router/overload.rs
+++ b/crates/router/src/router/overload.rs
@@ -68,8 +68,8 @@
         true
     }
 
-    /// Refuses the statement that a session is about to queue if the group is overloaded and the work
-    /// ahead of the statement has waited for long. Returns whether it was refused.
+    /// Refuses the statement that a session is about to queue if the group has been overloaded for long and
+    /// the statement would be late. Returns whether it was refused.
     fn shed(&mut self, service: &ServiceName, id: SessionId) -> bool {
         if !self.uses(Mechanism::LoadShedding) {
             return false;
