--- a/crates/router/tests/load.rs
+++ b/crates/router/tests/load.rs
@@ -512,3 +512,40 @@
     }
     assert!(node.primary_connections.len() >= 6, "the node has room again");
 }
+
+/// Guards against shed transactions that leave a session in an unknown state: the first statement of a
+/// transaction is refused before anything was sent, and the client ends the transaction as usual.
+#[test]
+fn transaction_is_shed_before_it_is_sent() {
+    let mut node = Node::new();
+    let mut sessions = 1_u64..;
+    for _ in 0..800 {
+        sessions.by_ref().take(3).for_each(|session| node.send_write(session));
+        let run_count = node.unanswered.len().min(2);
+        let delayed = node.unanswered.split_off(run_count);
+        node.answer_commands(false);
+        node.unanswered.extend(delayed);
+        node.advance(10);
+    }
+    // What is admitted now fills the queue up to the objective.
+    sessions.by_ref().take(60).for_each(|session| node.send_write(session));
+    node.replies.clear();
+    let session = 1_000_000;
+    node.send_statement(session, Statement::Begin { read_only: false });
+    node.send_in_session(session, Statement::Write { arguments: "item x".to_owned() });
+    node.send_in_session(session, Statement::Rollback);
+    let replies: Vec<String> = node
+        .replies
+        .iter()
+        .filter(|(id, _)| *id == session)
+        .map(|(_, answer)| match &answer.outcome {
+            Outcome::Complete(_) => format!("complete, {:?}", answer.state),
+            Outcome::Error { fault, text } => {
+                format!("{fault:?} {}, {:?}", &text[..5], answer.state)
+            }
+        })
+        .collect();
+    assert_eq!(replies, ["complete, Transaction", "Busy T2011, Failed", "complete, Idle"]);
+    let id = format!("s{session}");
+    assert!(!node.unanswered.iter().any(|(_, command)| command.id.as_deref() == Some(&*id)));
+}
