--- a/crates/router/src/router/overload.rs
+++ b/crates/router/src/router/overload.rs
@@ -271,8 +271,8 @@
         is_waiting.then_some(operation)
     }
 
-    /// Returns the statement of a session that no endpoint has been chosen for, and its kind; it may be
-    /// the first of a transaction.
+    /// Returns the statement of a session that waits for any connection, and its kind. Of a transaction,
+    /// this is the first statement.
     fn unplaced_operation(&self, id: SessionId) -> Option<(&Operation, Kind)> {
         let session = self.sessions.get(&id)?;
         let operation = session.current.as_ref()?;
--- a/crates/router/tests/load.rs
+++ b/crates/router/tests/load.rs
@@ -166,6 +166,13 @@
         }
     }
 
+    /// Answers the oldest commands; the others stay unanswered.
+    fn answer_oldest(&mut self, count: usize) {
+        let others = self.unanswered.split_off(self.unanswered.len().min(count));
+        self.answer_commands(false);
+        self.unanswered.extend(others);
+    }
+
     fn send_write(&mut self, session: u64) {
         self.send_statement(session, Statement::Write { arguments: "item x".to_owned() });
     }
@@ -317,10 +324,7 @@
             sent_at.insert(session, node.now);
             node.send_write(session);
         }
-        let run_count = node.unanswered.len().min(2);
-        let delayed = node.unanswered.split_off(run_count);
-        node.answer_commands(false);
-        node.unanswered.extend(delayed);
+        node.answer_oldest(2);
         node.advance(10);
         for (session, answer) in std::mem::take(&mut node.replies) {
             let waited = node.now - sent_at[&session];
@@ -346,10 +350,7 @@
             sent_at.insert(session, node.now);
             node.send_write(session);
         }
-        let run_count = node.unanswered.len().min(2);
-        let delayed = node.unanswered.split_off(run_count);
-        node.answer_commands(false);
-        node.unanswered.extend(delayed);
+        node.answer_oldest(2);
         node.advance(10);
         for (session, answer) in std::mem::take(&mut node.replies) {
             let waited = node.now - sent_at[&session];
@@ -447,10 +448,7 @@
         if step >= 249 {
             node.drop_primary_commands();
         }
-        let run_count = node.unanswered.len().min(2);
-        let delayed = node.unanswered.split_off(run_count);
-        node.answer_commands(false);
-        node.unanswered.extend(delayed);
+        node.answer_oldest(2);
         node.advance(10);
     }
     let is_early = |answer: &Answer| match &answer.outcome {
@@ -481,10 +479,7 @@
     };
     while !is_sent(&node, "s2") {
         assert!(!is_sent(&node, "s1"), "the late statement was sent before the fresh one");
-        let run_count = node.unanswered.len().min(1);
-        let others = node.unanswered.split_off(run_count);
-        node.answer_commands(false);
-        node.unanswered.extend(others);
+        node.answer_oldest(1);
         node.advance(1);
     }
 }
@@ -521,10 +516,7 @@
     let mut sessions = 1_u64..;
     for _ in 0..800 {
         sessions.by_ref().take(3).for_each(|session| node.send_write(session));
-        let run_count = node.unanswered.len().min(2);
-        let delayed = node.unanswered.split_off(run_count);
-        node.answer_commands(false);
-        node.unanswered.extend(delayed);
+        node.answer_oldest(2);
         node.advance(10);
     }
     // What is admitted now fills the queue up to the objective.
