--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -21,6 +21,7 @@
 WORK_S = 0.01
 PROMOTE_S = 0.3
 REPLICA_LAG_S = 0.02
+next_port = 20000 + (os.getpid() * 37) % 8000
 
 
 class Record:
@@ -40,9 +41,10 @@
 
 
 def free_port_block(count):
-    """Returns the first of `count` consecutive ports that are free now."""
-    base = 20000 + (os.getpid() * 37) % 8000
-    for start in range(base, 32000, count):
+    """Returns the first of `count` consecutive ports that are free now and were not returned before."""
+    global next_port
+    for start in range(next_port, 32000, count):
+        next_port = start + count
         sockets = []
         try:
             for port in range(start, start + count):
