--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -113,6 +113,7 @@
         self.on_write = None  # called with (kind, name, spec) after each write of a node
         self.version = 0
         self.receipt = 0
+        self.records_runs = True
         for service in services:
             members = [Backend(service, f"i-{service}-{i}", "primary" if i == 0 else "replica") for i in range(3)]
             for backend in members:
@@ -411,7 +412,8 @@
         self.receipt += 1
         receipt = f"COMPLETE {backend.name}.{self.receipt}"
         self.runs.append((id, text, who, backend.name))
-        self.record.add(f"{backend.name} ran for {who!r}: id {id} text {text!r}")
+        if self.records_runs:
+            self.record.add(f"{backend.name} ran for {who!r}: id {id} text {text!r}")
         if verb == "READ":
             return [backend.value(rest)], receipt
         if verb == "WRITE":
