--- a/crates/objects/src/client.rs
+++ b/crates/objects/src/client.rs
@@ -99,7 +99,5 @@
     if reply.status >= 300 {
         return Err(Error::new(Code::HttpStatus(reply.status)));
     }
-    let invalid =
-        |error: serde_json::Error| Code::Invalid("response body".to_owned(), error.to_string());
-    serde_json::from_value(reply.body).map_err(|error| Error::new(invalid(error)))
+    reply.decode()
 }
--- a/crates/objects/src/http.rs
+++ b/crates/objects/src/http.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use compio::time::timeout;
+use serde::de::DeserializeOwned;
 use serde_json::Value;
+use serde_json::value::RawValue;
 
 use crate::error::Code;
 use crate::{Error, Result};
@@ -57,12 +59,27 @@
 pub struct Reply {
     /// HTTP status code.
     pub status: u16,
-    /// JSON body; null if the response has none, or if an error response is not JSON.
-    pub body: Value,
+    /// JSON body; null if the response has none, or if an error response is not JSON. Only its syntax
+    /// is checked: nested values may still be too deep, or numbers too large, to be decoded. Bytes that
+    /// are not UTF-8 are replaced by U+FFFD.
+    pub body: Box<RawValue>,
     /// Value of the header that the client keeps; none if the response has no such header.
     pub kept_header: Option<String>,
 }
 
+impl Reply {
+    /// Decodes the body.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the body is not a `T`.
+    pub fn decode<T: DeserializeOwned>(&self) -> Result<T> {
+        serde_json::from_str(self.body.get()).map_err(|error| {
+            Error::new(Code::Invalid("response body".to_owned(), error.to_string()))
+        })
+    }
+}
+
 /// Client of one HTTP server.
 pub struct HttpClient {
     address: SocketAddr,
@@ -137,12 +154,16 @@
         let kept_header = kept_header.map(|value| String::from_utf8_lossy(value.as_bytes()).into());
         let bytes = response.bytes().await?;
         let body = match bytes.is_empty() {
-            true => Value::Null,
-            // Error responses need not be JSON; their status is sufficient.
-            false if status >= 400 => serde_json::from_slice(&bytes).unwrap_or(Value::Null),
-            false => serde_json::from_slice(&bytes).map_err(|error| {
-                Error::new(Code::Invalid(format!("response to {}", call.path), error.to_string()))
-            })?,
+            true => RawValue::NULL.to_owned(),
+            false => match serde_json::from_str(&String::from_utf8_lossy(&bytes)) {
+                Ok(body) => body,
+                // Error responses need not be JSON; their status is sufficient.
+                Err(_) if status >= 400 => RawValue::NULL.to_owned(),
+                Err(error) => {
+                    let what = format!("response to {}", call.path);
+                    return Err(Error::new(Code::Invalid(what, error.to_string())));
+                }
+            },
         };
         Ok(Reply { status, body, kept_header })
     }
