Leave out VMs of the platform's list that cannot be decoded

Nodes of the PostgreSQL front end read the list of VMs from the platform. One entry with a port out of range, values nested too deeply or bytes that are no text made every read of the list fail, without a log line, and nodes no longer learned of changes of the fleet.

Entries are decoded one at a time; those that are not valid are logged and left out.

--- a/crates/objects/src/client.rs
+++ b/crates/objects/src/client.rs
@@ -6,6 +6,8 @@
 
 use serde::de::DeserializeOwned;
 use serde_json::Value;
+use serde_json::value::RawValue;
+use tracing::warn;
 
 use crate::api::{Object, UpdateResponse, Vm, WatchResponse};
 use crate::error::Code;
@@ -80,14 +82,16 @@
         Ok(decode_body::<WatchResponse>(reply)?.version)
     }
 
-    /// Returns the list of VMs, which may lag behind their actual state.
+    /// Returns the list of VMs, which may lag behind their actual state. Entries that are not valid are
+    /// logged and left out.
     ///
     /// # Errors
     ///
     /// Fails when the platform does not answer.
     pub async fn vms(&self) -> Result<Vec<Vm>> {
         let call = Call::new(Method::Get, "/vms".to_owned());
-        decode_body(self.http.call(&call, CALL_TIMEOUT).await?)
+        let entries: Vec<Box<RawValue>> = decode_body(self.http.call(&call, CALL_TIMEOUT).await?)?;
+        Ok(entries.iter().filter_map(|entry| decode_vm(entry)).collect())
     }
 }
 
@@ -95,6 +99,14 @@
     format!("/objects/{kind}/{name}")
 }
 
+fn decode_vm(entry: &RawValue) -> Option<Vm> {
+    serde_json::from_str(entry.get())
+        .inspect_err(
+            |error| warn!(%error, "entry in the list of VMs is not valid; ignoring the entry"),
+        )
+        .ok()
+}
+
 fn decode_body<T: DeserializeOwned>(reply: Reply) -> Result<T> {
     if reply.status >= 300 {
         return Err(Error::new(Code::HttpStatus(reply.status)));
