Number the writes of the failover lease

Cause: renewals after the first had equal contents. The store neither raises the revision nor reports an event for a write that changes nothing, and other nodes take a lease for expired when its revision stays for 2.5 s. A failover of more than about 3.2 s so lost its lease while the holder trusted it.

Each write of the lease now carries a number of its own, so that each renewal changes the record. The generated histories raised the revision with every write and could not show the fault; they now follow the store's rule.

--- a/crates/router/src/failover.rs
+++ b/crates/router/src/failover.rs
@@ -57,7 +57,7 @@
 const PROMOTE_INTERVAL: Duration = Duration::from_millis(120);
 
 /// Name of a record that nodes keep in the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum RecordName {
     /// Votes on a group's primary.
     Ballot(ServiceName),
@@ -100,6 +100,11 @@
     /// Era of the store in which the lease was written.
     #[serde(default)]
     pub era: Era,
+    /// Number of the write among those of the holder's process. The store neither raises the revision
+    /// nor reports a change for a write of equal contents, and a lease whose revision stays counts as
+    /// expired.
+    #[serde(default)]
+    pub serial: u64,
 }
 
 impl Ballot {
--- a/crates/router/src/router/lease.rs
+++ b/crates/router/src/router/lease.rs
@@ -39,6 +39,8 @@
     next_read_at: Time,
     /// Unanswered write, and when it was sent.
     pending_write: Option<(Time, Lease)>,
+    /// Number of writes so far.
+    writes: u64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -63,6 +65,7 @@
             observed: None,
             next_read_at: Time::ZERO,
             pending_write: None,
+            writes: 0,
         }
     }
 
@@ -165,11 +168,13 @@
     }
 
     fn write_lease(&mut self, revision: Option<Revision>, token: u64) {
+        self.lease.writes += 1;
         let lease = Lease {
             holder: self.settings.node.clone(),
             incarnation: self.lease.incarnation,
             token,
             era: self.lease.current_era(),
+            serial: self.lease.writes,
         };
         self.lease.pending_write = Some((self.now, lease.clone()));
         self.actions.push(Action::WriteRecord(RecordName::Lease, revision, Record::Lease(lease)));
--- a/crates/router/tests/histories/world.rs
+++ b/crates/router/tests/histories/world.rs
@@ -489,10 +489,16 @@
         if !self.is_linked(Party::Node(node), Party::Store) {
             return WriteResult::Failed;
         }
-        let stored = self.records.get(&key(name)).map(|(revision, _)| *revision);
-        if stored != revision.map(|revision| revision.number) {
+        let stored = self.records.get(&key(name));
+        if stored.map(|(number, _)| *number) != revision.map(|revision| revision.number) {
             return WriteResult::Conflict;
         }
+        // The store neither raises the revision nor reports an event for a write that changes nothing.
+        if let Some((number, stored)) = stored
+            && *stored == record
+        {
+            return WriteResult::Done(self.reported(*number));
+        }
         self.revision += 1;
         self.records.insert(key(name), (self.revision, record));
         let (revision, records) = (self.revision, self.records.clone());
