Reset the connection of a promotion that is given up

Cause: the call went over a connection that was open since an earlier promotion, and closing a connection leaves unacknowledged bytes to the system, which delivers them later. The request itself was sent while the lease was valid, so checks before sending cannot help.

A promotion now has a connection of its own with a linger time of zero and a TCP_USER_TIMEOUT of the call's limit: the request is dropped when the call is given up, when the process is killed, and while it is suspended. An answered call closes without a reset.

--- a/crates/objects/src/http.rs
+++ b/crates/objects/src/http.rs
@@ -29,10 +29,10 @@
 /// HTTP request; the body, if any, is JSON.
 #[derive(Clone, Debug)]
 pub struct Call {
-    method: Method,
-    path: String,
-    headers: Vec<(&'static str, String)>,
-    body: Option<Value>,
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) headers: Vec<(&'static str, String)>,
+    pub(crate) body: Option<Value>,
 }
 
 impl Call {
@@ -68,6 +68,28 @@
 }
 
 impl Reply {
+    /// Returns the reply to a call of `path`. Fails when a successful response is not JSON.
+    pub(crate) fn new(
+        status: u16,
+        bytes: &[u8],
+        kept_header: Option<String>,
+        path: &str,
+    ) -> Result<Reply> {
+        let body = match bytes.is_empty() {
+            true => RawValue::NULL.to_owned(),
+            false => match serde_json::from_str(&String::from_utf8_lossy(bytes)) {
+                Ok(body) => body,
+                // Error responses need not be JSON; their status is sufficient.
+                Err(_) if status >= 400 => RawValue::NULL.to_owned(),
+                Err(error) => {
+                    let what = format!("response to {path}");
+                    return Err(Error::new(Code::Invalid(what, error.to_string())));
+                }
+            },
+        };
+        Ok(Reply { status, body, kept_header })
+    }
+
     /// Decodes the body.
     ///
     /// # Errors
@@ -116,19 +138,7 @@
     /// and when a successful response is not JSON.
     pub async fn call(&self, call: &Call, time_limit: Duration) -> Result<Reply> {
         let client = self.client.borrow().clone();
-        let result = match timeout(time_limit, self.send(&client, call)).await {
-            Ok(result) => result,
-            Err(_) => {
-                Err(Error::new(Code::Unavailable(format!("no response within {time_limit:?}"))))
-            }
-        };
-        let outcome = match &result {
-            Ok(reply) if reply.status < 400 => "done",
-            Ok(reply) if reply.status < 500 => "refused",
-            Ok(_) => "failed",
-            Err(_) => "no answer",
-        };
-        metrics::counter!("http_calls_total", "outcome" => outcome).increment(1);
+        let result = complete(self.send(&client, call), time_limit).await;
         if result.is_err() {
             *self.client.borrow_mut() = new_client();
         }
@@ -153,22 +163,28 @@
         let kept_header = self.kept_header.and_then(|name| response.headers().get(name));
         let kept_header = kept_header.map(|value| String::from_utf8_lossy(value.as_bytes()).into());
         let bytes = response.bytes().await?;
-        let body = match bytes.is_empty() {
-            true => RawValue::NULL.to_owned(),
-            false => match serde_json::from_str(&String::from_utf8_lossy(&bytes)) {
-                Ok(body) => body,
-                // Error responses need not be JSON; their status is sufficient.
-                Err(_) if status >= 400 => RawValue::NULL.to_owned(),
-                Err(error) => {
-                    let what = format!("response to {}", call.path);
-                    return Err(Error::new(Code::Invalid(what, error.to_string())));
-                }
-            },
-        };
-        Ok(Reply { status, body, kept_header })
+        Reply::new(status, &bytes, kept_header, &call.path)
     }
 }
 
+/// Waits for the result of a call and counts it.
+pub(crate) async fn complete(
+    call: impl Future<Output = Result<Reply>>,
+    time_limit: Duration,
+) -> Result<Reply> {
+    let result = timeout(time_limit, call).await.unwrap_or_else(|_| {
+        Err(Error::new(Code::Unavailable(format!("no response within {time_limit:?}"))))
+    });
+    let outcome = match &result {
+        Ok(reply) if reply.status < 400 => "done",
+        Ok(reply) if reply.status < 500 => "refused",
+        Ok(_) => "failed",
+        Err(_) => "no answer",
+    };
+    metrics::counter!("http_calls_total", "outcome" => outcome).increment(1);
+    result
+}
+
 fn new_client() -> cyper::Client {
     cyper::Client::new().expect("HTTP client without TLS needs no configuration")
 }
--- a/crates/objects/src/lib.rs
+++ b/crates/objects/src/lib.rs
@@ -15,6 +15,7 @@
 mod error;
 mod group;
 pub mod http;
+pub mod one_shot;
 
 pub use client::Client;
 pub use document::{Publication, Published, Store};
