Hold the requests of a session until it is accepted

Cause: a session whose key is unknown waits up to 400 ms for a newer configuration, and the router took statements as soon as the session had named its database. Neither the limit of a customer nor the choice of a connection stopped them, as the session had no customer. Calls on channels between nodes pass the same function.

Requests of a session that is not accepted now wait in its backlog and are handled in order once it is, or dropped with it. A statement that reached a node without connections of its own before the session was placed left the queue when the session was accepted, and waited until its timeout; it is now sent when the channel opens.

Three of the four new tests fail on the code before and pass; the fourth bounds the backlog.

--- a/crates/router/src/router/clients.rs
+++ b/crates/router/src/router/clients.rs
@@ -20,13 +20,24 @@
 use crate::session::{Need, Operation, Phase, PreparedStatement, Session, Stage, Transaction};
 use crate::settings::{RETRY_AFTER_BUSY, RETRY_AFTER_NO_PRIMARY};
 
-/// Maximum number of requests of one session that are queued behind its current statement.
+/// Maximum number of requests of one session that are queued until it is accepted, or behind its current
+/// statement.
 const MAX_BACKLOG: usize = 32;
+
 impl Router {
     pub(super) fn on_request(&mut self, id: SessionId, request: Request) {
         let now = self.now;
         let Some(session) = self.sessions.get_mut(&id) else { return };
         session.last_active_at = now;
+        let is_starting = session.database.is_some() && !session.is_accepted;
+        if is_starting && !matches!(request, Request::Start { .. } | Request::End) {
+            // The client's key has not been checked yet.
+            match session.backlog.len() < MAX_BACKLOG {
+                true => session.backlog.push_back(request),
+                false => self.reject_session(id, Fault::Malformed, Code::BadMessage),
+            }
+            return;
+        }
         match request {
             Request::Start { database, key } => self.start_session(id, database, key),
             Request::End => {
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -215,6 +215,11 @@
         }
         self.resume_answered_sessions();
         self.dispatch_all();
+        // Sessions that were accepted or answered meanwhile may have further requests.
+        while !self.answered_sessions.is_empty() {
+            self.resume_answered_sessions();
+            self.dispatch_all();
+        }
         std::mem::take(&mut self.actions)
     }
 
--- a/crates/router/src/router/starting.rs
+++ b/crates/router/src/router/starting.rs
@@ -1,7 +1,8 @@
 //! Start of sessions.
 //!
 //! A session is accepted once the node knows who serves it: this node, if the configuration names the
-//! database and the client's key is known, or another node.
+//! database and the client's key is known, or another node. Statements that arrive before that wait, and
+//! are dropped with the session if it is rejected.
 
 use tamarackbend_policy::code::Code;
 
@@ -193,6 +194,9 @@
         if let Some(session) = self.sessions.get_mut(&id) {
             session.is_accepted = true;
             session.accepted_at = now;
+            if !session.backlog.is_empty() {
+                self.answered_sessions.push(id);
+            }
             self.actions.push(Action::AcceptSession(id));
         }
     }
--- a/crates/router/tests/customers.rs
+++ b/crates/router/tests/customers.rs
@@ -209,6 +209,55 @@
     assert!(is_accepted(&pooler.start(2, "k1"), 2));
 }
 
+/// Guards against statements that run before the client's key is checked: those sent together with the
+/// startup message ran while the node waited for a newer configuration that might name the key.
+#[test]
+fn statement_before_acceptance_of_an_unknown_key_does_not_run() {
+    let mut pooler = Pooler::new(configuration(1, 76, vec![customer("acme", &["k1"])]));
+    let mut actions = pooler.start(1, "stranger");
+    let (sent, _) = pooler.write(1, "w1");
+    actions.extend(sent);
+    for _ in 0..30 {
+        actions.extend(pooler.advance(20 * MILLISECOND));
+    }
+    assert_eq!(sent_to(&actions, "w1"), None);
+    assert_eq!(replies(&actions, 1), []);
+    assert_eq!(rejection(&actions, 1), Some(Fault::Unauthorized));
+}
+
+/// Guards against statements that are lost, or that run as nobody, because they were sent before the
+/// session was accepted.
+#[test]
+fn statements_before_acceptance_run_in_order_once_the_key_is_known() {
+    let mut pooler = Pooler::new(configuration(1, 76, vec![customer("acme", &["k1"])]));
+    pooler.start(1, "k2");
+    let prepare = Statement::Set { name: "a".to_owned(), value: "b".to_owned() };
+    let request = tamarackbend_router::message::Request::Statement {
+        id: "s1".to_owned(),
+        statement: prepare,
+        floor: None,
+    };
+    assert_eq!(replies(&pooler.step(Event::ClientRequest(1, request)), 1), []);
+    assert_eq!(pooler.write(1, "w1").1, None);
+    pooler.now += 20 * MILLISECOND;
+    let newer = configuration(2, 76, vec![customer("acme", &["k1", "k2"])]);
+    let actions = pooler.step(Event::ConfigurationRead(newer));
+    let accepted = actions.iter().position(|action| *action == Action::AcceptSession(1));
+    let replied = actions.iter().position(|action| matches!(action, Action::Reply(1, _)));
+    assert!(accepted.is_some() && accepted < replied, "{actions:?}");
+    let connection = sent_to(&actions, "w1").expect("the write is sent");
+    assert_eq!(pooler.connections[&connection].as_deref(), Some("acme"));
+}
+
+/// Guards against a session that is accepted with more requests in its queue than any other may have.
+#[test]
+fn requests_before_acceptance_are_bounded() {
+    let mut pooler = Pooler::new(configuration(1, 76, vec![customer("acme", &["k1"])]));
+    pooler.start(1, "stranger");
+    let sent = (0..40).flat_map(|index| pooler.write(1, &format!("w{index}")).0);
+    assert_eq!(rejection(&sent.collect::<Vec<_>>(), 1), Some(Fault::Malformed));
+}
+
 /// Guards against a key that the configuration has just gained and that a pooler refuses by the
 /// configuration before.
 #[test]
--- a/crates/router/tests/peers.rs
+++ b/crates/router/tests/peers.rs
@@ -92,6 +92,25 @@
     Statement::Read { arguments: "item".to_owned() }
 }
 
+/// Guards against a statement that waits in vain because it was sent together with the startup message: the
+/// session left the queue when it was accepted, and the statement with it.
+#[test]
+fn statement_before_acceptance_is_sent_when_the_channel_opens() {
+    let mut router = router_in_fleet();
+    let (channel, _) = start(&mut router, 1, START);
+    assert_eq!(statement(&mut router, START, "r1", read()), []);
+    let actions =
+        router.step(START + Duration::from_millis(15), Event::EndpointConnected(channel, None));
+    assert!(actions.contains(&Action::AcceptSession(1)), "{actions:?}");
+    let is_sent = actions.iter().any(|action| match action {
+        Action::SendCommands(to, commands) => {
+            *to == channel && commands.iter().any(|command| command.id.as_deref() == Some("r1"))
+        }
+        _ => false,
+    });
+    assert!(is_sent, "{actions:?}");
+}
+
 #[test]
 fn every_node_of_a_small_fleet_is_a_pooler() {
     let all: Vec<Peer> =
