Keep signals handled between two listeners

A second SIGTERM ended a node with requests in progress.

Cause: the signal library restores the default action when the last listener of a signal is dropped, which happens with the first signal that it receives.

net::signal::Signal keeps a listener that is never polled to its end, and registers the next one before it reports a signal.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,18 +1,21 @@
 //! Daemon that runs one proxy node.
 //!
 //! Exits with status 2 before opening any socket if the settings are invalid. SIGTERM and SIGINT
-//! drain the node before the process exits.
+//! drain the node before the process exits; further ones change nothing.
 
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::Parser;
 use tamarackbend_config::{LogFormat, Settings};
+use tamarackbend_net::signal::Signal;
 use tamarackbend_node::Node;
 use tracing::info;
 
 /// Number of the signal by which the platform stops a VM.
 const SIGTERM: i32 = 15;
+/// Number of the signal that a terminal sends.
+const SIGINT: i32 = 2;
 /// Exit status for invalid settings.
 const EXIT_INVALID_SETTINGS: u8 = 2;
 
@@ -45,8 +48,15 @@
         return ExitCode::SUCCESS;
     }
     init_logging(settings.log_format);
+    let signals = match (Signal::new(SIGTERM), Signal::new(SIGINT)) {
+        (Ok(terminate), Ok(interrupt)) => [terminate, interrupt],
+        (Err(error), _) | (_, Err(error)) => {
+            eprintln!("tamarackbendd: cannot handle signals: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
     match Node::start(settings) {
-        Ok(node) => run(node),
+        Ok(node) => run(node, signals),
         Err(error) => {
             eprintln!("tamarackbendd: {error}");
             ExitCode::FAILURE
@@ -64,7 +74,7 @@
     }
 }
 
-fn run(node: Node) -> ExitCode {
+fn run(node: Node, [mut terminate, mut interrupt]: [Signal; 2]) -> ExitCode {
     let addresses = node.addresses();
     info!(
         caller = %addresses.client,
@@ -74,12 +84,12 @@
     );
     let runtime = compio::runtime::Runtime::new().expect("a runtime can be created");
     runtime.block_on(async {
-        let terminated = compio::signal::unix::signal(SIGTERM);
-        let interrupted = compio::signal::ctrl_c();
+        let terminated = terminate.receive();
+        let interrupted = interrupt.receive();
         futures_util::pin_mut!(terminated, interrupted);
         futures_util::future::select(terminated, interrupted).await;
     });
-    let () = ();
+    // The signals stay handled until the process ends.
     node.drain();
     node.join();
     ExitCode::SUCCESS
--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -159,3 +159,25 @@
         }
     });
 }
+
+/// Guards against a second SIGTERM that ends the process at once: the library restores the default action
+/// of a signal when its listener is dropped, which happened with the first one.
+#[test]
+fn second_sigterm_does_not_cut_a_transaction() {
+    let platform = Platform::start(([127, 0, 0, 1], 0).into()).expect("the platform starts");
+    let plan = Plan::amstelweide().with_databases(1).with_delays(false);
+    let deployment = plan.start(&platform).expect("the endpoints start");
+    publish(&platform, &[deployment.document]);
+    let node = start(0, &platform);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("a runtime can be created").block_on(async {
+        let client = connect_when_ready(node.client_address).await;
+        client.batch_execute("CREATE TABLE lease (id INTEGER)").await.expect("DDL works");
+        client.batch_execute("BEGIN").await.expect("a transaction begins");
+        client.batch_execute("INSERT INTO lease VALUES (1)").await.expect("the write runs");
+        for _ in 0..5 {
+            node.signal("-TERM");
+        }
+        client.batch_execute("COMMIT").await.expect("the commit is answered");
+    });
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,9 +1,10 @@
-//! Buffered reading and writing on a TCP stream, and framing by lines.
+//! Buffered reading and writing on a TCP stream, framing by lines, and signals.
 //!
 //! The size of a read starts at [`MIN_READ_BYTES`], doubles while reads fill the buffer and returns
 //! to the minimum when they do not. An idle connection therefore holds a small buffer only.
 
 pub mod line;
+pub mod signal;
 
 use std::io;
 
