Decode each PostgreSQL message by itself

Fuzzing showed that a malformed message of a client or an endpoint makes the decoder panic. The runtime contains the panic, so the process goes on, but the task of the connection ends without its last steps.

Cause: the library's decoders trust the lengths inside a message, read into the next message, and panic at the end of the buffer.

A message is now taken from the input by its length, which is checked against the limit first, and decoded by itself; a panic of the library counts as a malformed message.

The tests of the daemon's processes, which run at the same time, wrote their settings to the same files, and hung once that there were three of them; each platform has files of its own now.

--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -1,14 +1,23 @@
 //! Runs nodes as separate processes. Acknowledged writes must not be lost or repeated when a node
 //! is suspended for longer than its timeouts and resumes with outdated state, or is killed.
 
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command};
 
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tamarackbend_mutation::mutate;
 use tamarackbend_objects::api::Vm;
 use tamarackbend_standin::deployment::{Plan, publish};
 use tamarackbend_standin::platform::Platform;
 use tokio_postgres::{Client, NoTls};
 
+/// Number of malformed connections to a node.
+const MALFORMED_CONNECTIONS: u64 = 400;
+/// Startup message of a client.
+const STARTUP: &[u8] = b"\0\0\0\x2d\0\x03\0\0user\0loket\0database\0pachtregister-1\0\0";
+
 const DOMAINS: [&str; 3] = ["noord-a", "midden-a", "zuid-a"];
 
 struct Process {
@@ -56,7 +65,10 @@
         domain = DOMAINS[index],
         platform = platform.address(),
     );
-    let file = std::env::temp_dir().join(format!("node-{}-{index}.yaml", std::process::id()));
+    // The tests of this file run at the same time, each with a platform of its own.
+    let port = platform.address().port();
+    let file =
+        std::env::temp_dir().join(format!("node-{}-{port}-{index}.yaml", std::process::id()));
     std::fs::write(&file, text).expect("the file can be written");
     let mut child = Command::new(env!("CARGO_BIN_EXE_tamarackbendd"))
         .arg("--settings")
@@ -181,3 +193,34 @@
         client.batch_execute("COMMIT").await.expect("the commit is answered");
     });
 }
+
+/// Sends `input` on a connection of its own, and waits until the node has closed it.
+fn send_malformed(address: SocketAddr, input: &[u8]) {
+    let mut stream = TcpStream::connect(address).expect("the node accepts connections");
+    // These fail if the node has closed the connection already.
+    let _ = stream.write_all(input);
+    let _ = stream.shutdown(Shutdown::Write);
+    let _ = stream.read_to_end(&mut Vec::new());
+}
+
+/// Guards against a malformed first message that affects other connections than its own.
+#[test]
+fn malformed_messages_end_at_most_their_own_connection() {
+    let platform = Platform::start(([127, 0, 0, 1], 0).into()).expect("the platform starts");
+    let plan = Plan::amstelweide().with_databases(1).with_delays(false);
+    let deployment = plan.start(&platform).expect("the endpoints start");
+    publish(&platform, &[deployment.document]);
+    let mut node = start(0, &platform);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("a runtime can be created").block_on(async {
+        let client = connect_when_ready(node.client_address).await;
+        for seed in 0..MALFORMED_CONNECTIONS {
+            let mut random = ChaCha8Rng::seed_from_u64(seed);
+            send_malformed(node.client_address, &mutate(&mut random, STARTUP));
+        }
+        client.simple_query("SELECT 1").await.expect("the earlier session goes on");
+        let client = connect_when_ready(node.client_address).await;
+        client.simple_query("SELECT 1").await.expect("a new session is served");
+    });
+    assert!(node.child.try_wait().expect("the daemon can be waited for").is_none());
+}
--- a/crates/node/src/entry/login.rs
+++ b/crates/node/src/entry/login.rs
@@ -10,7 +10,7 @@
 use tamarackbend_policy::session::Session;
 use tamarackbend_postgres::message::{
     self, Authentication, Backend, BackendKeyData, Frontend, ParameterStatus, ReadyForQuery,
-    SecretKey, SslNegotiationMetaMessage, SslResponse, Startup, TransactionStatus,
+    SecretKey, SslResponse, Startup, TransactionStatus,
 };
 use tamarackbend_postgres::{ClientReader, Exchange};
 
@@ -100,7 +100,6 @@
 ) -> Result<Option<Startup>, Code> {
     loop {
         match reader.next().await {
-            Ok(Frontend::SslNegotiation(SslNegotiationMetaMessage::None)) => {}
             Ok(Frontend::SslNegotiation(_)) => {
                 send(writer, &[Backend::SslResponse(SslResponse::Refuse)]).await?;
             }
--- a/crates/postgres/src/client.rs
+++ b/crates/postgres/src/client.rs
@@ -3,13 +3,13 @@
 use tamarackbend_net::Reader;
 
 use crate::error::Code;
-use crate::message::{DecodeContext, Frontend, ProtocolVersion, SslNegotiationMetaMessage};
+use crate::message::{self, Frontend};
 use crate::{Error, Result};
 
 /// Reads a client's messages and limits their size.
 pub struct ClientReader {
     reader: Reader,
-    context: DecodeContext,
+    is_started: bool,
     max_message_bytes: usize,
 }
 
@@ -18,8 +18,7 @@
     ///
     /// Messages are limited to `max_message_bytes`.
     pub fn new(reader: Reader, max_message_bytes: usize) -> ClientReader {
-        let context = DecodeContext::new(ProtocolVersion::PROTOCOL3_0);
-        ClientReader { reader, context, max_message_bytes }
+        ClientReader { reader, is_started: false, max_message_bytes }
     }
 
     /// Reads the next message.
@@ -29,21 +28,15 @@
     /// Fails when the connection is lost or closed by the client, or when a message is malformed or
     /// exceeds the size limit.
     pub async fn next(&mut self) -> Result<Frontend> {
+        let take = match self.is_started {
+            true => message::take_frontend,
+            false => message::take_startup,
+        };
         loop {
-            if let Some(message) = Frontend::decode(&mut self.reader.input, &self.context)? {
-                match message {
-                    Frontend::SslNegotiation(SslNegotiationMetaMessage::None) => {
-                        self.context.awaiting_frontend_ssl = false;
-                        continue;
-                    }
-                    Frontend::Startup(_) => self.context.awaiting_frontend_startup = false,
-                    _ => {}
-                }
+            if let Some(message) = take(&mut self.reader.input, self.max_message_bytes)? {
+                self.is_started |= matches!(message, Frontend::Startup(_));
                 return Ok(message);
             }
-            if self.reader.input.len() > self.max_message_bytes {
-                return Err(Error::new(Code::TooLarge(self.max_message_bytes)));
-            }
             if self.reader.fill().await? == 0 {
                 return Err(Error::new(Code::Closed));
             }
--- a/crates/postgres/src/error.rs
+++ b/crates/postgres/src/error.rs
@@ -16,6 +16,8 @@
     Closed,
     /// message cannot be encoded or decoded: {0}
     Message(PgWireError),
+    /// message is malformed: {0}
+    Malformed(&'static str),
     /// message is larger than {0} bytes
     TooLarge(usize),
     /// endpoint rejected the login with SQLSTATE {0}: {1}
--- a/crates/postgres/src/message.rs
+++ b/crates/postgres/src/message.rs
@@ -2,8 +2,15 @@
 //!
 //! Frontend messages go from a client to a server, backend messages from a server to a client.
 //! Nodes send and receive both.
+//!
+//! The decoders of the library trust the lengths in a message: they read beyond its end, into the next
+//! message, and panic at the end of the buffer. A message is therefore taken from the input by its length
+//! first, and decoded by itself.
+
+use std::panic::{AssertUnwindSafe, catch_unwind};
 
-use bytes::BytesMut;
+use bytes::{Buf, BytesMut};
+use pgwire::error::PgWireResult;
 pub use pgwire::messages::cancel::CancelRequest;
 pub use pgwire::messages::data::{
     DataRow, FieldDescription, NoData, ParameterDescription, RowDescription,
@@ -24,7 +31,13 @@
     ProtocolVersion, SslNegotiationMetaMessage,
 };
 
-use crate::Result;
+use crate::error::Code;
+use crate::{Error, Result};
+
+/// Size of the length field, which counts itself.
+const LENGTH_BYTES: usize = 4;
+/// Maximum size of a message of a server, in bytes: the protocol's.
+const MAX_BACKEND_BYTES: usize = i32::MAX as usize;
 
 /// Code of the error field that holds the SQLSTATE.
 const FIELD_SQLSTATE: u8 = b'C';
@@ -55,12 +68,32 @@
 ///
 /// # Errors
 ///
-/// Fails when the message is malformed.
-pub fn take_frontend(input: &mut BytesMut) -> Result<Option<Frontend>> {
+/// Fails when the message is malformed or has more than `max_bytes` bytes.
+pub fn take_frontend(input: &mut BytesMut, max_bytes: usize) -> Result<Option<Frontend>> {
     let mut context = DecodeContext::new(ProtocolVersion::PROTOCOL3_0);
     context.awaiting_frontend_ssl = false;
     context.awaiting_frontend_startup = false;
-    Ok(Frontend::decode(input, &context)?)
+    let Some(mut message) = take_message(input, 1, max_bytes)? else { return Ok(None) };
+    decode(|| Frontend::decode(&mut message, &context)).map(Some)
+}
+
+/// Removes the first message of a client, complete, from `input`: the startup message, or a request for
+/// encryption or cancelation.
+///
+/// Returns `None` while the message is incomplete.
+///
+/// # Errors
+///
+/// Fails when the message is malformed or has more than `max_bytes` bytes.
+pub fn take_startup(input: &mut BytesMut, max_bytes: usize) -> Result<Option<Frontend>> {
+    let mut context = DecodeContext::new(ProtocolVersion::PROTOCOL3_0);
+    let Some(mut message) = take_message(input, 0, max_bytes)? else { return Ok(None) };
+    let first = decode(|| Frontend::decode(&mut message, &context))?;
+    if !matches!(first, Frontend::SslNegotiation(SslNegotiationMetaMessage::None)) {
+        return Ok(Some(first));
+    }
+    context.awaiting_frontend_ssl = false;
+    decode(|| Frontend::decode(&mut message, &context)).map(Some)
 }
 
 /// Removes the next complete backend message from `input`.
@@ -72,7 +105,41 @@
 /// Fails when the message is malformed.
 pub fn take_backend(input: &mut BytesMut) -> Result<Option<Backend>> {
     let context = DecodeContext::new(ProtocolVersion::PROTOCOL3_0);
-    Ok(Backend::decode(input, &context)?)
+    let Some(mut message) = take_message(input, 1, MAX_BACKEND_BYTES)? else { return Ok(None) };
+    decode(|| Backend::decode(&mut message, &context)).map(Some)
+}
+
+/// Removes one message, whose length follows a header of `header_bytes`, from `input`.
+fn take_message(
+    input: &mut BytesMut,
+    header_bytes: usize,
+    max_bytes: usize,
+) -> Result<Option<BytesMut>> {
+    let Some(mut field) = input.get(header_bytes..header_bytes + LENGTH_BYTES) else {
+        return Ok(None);
+    };
+    let length = field.get_u32() as usize;
+    if length < LENGTH_BYTES {
+        return Err(Error::new(Code::Malformed("its length is too small")));
+    }
+    if header_bytes + length > max_bytes {
+        return Err(Error::new(Code::TooLarge(max_bytes)));
+    }
+    if input.len() < header_bytes + length {
+        input.reserve(header_bytes + length - input.len());
+        return Ok(None);
+    }
+    Ok(Some(input.split_to(header_bytes + length)))
+}
+
+/// Decodes a complete message. The library panics if a field is longer than the message.
+fn decode<T>(decode: impl FnOnce() -> PgWireResult<Option<T>>) -> Result<T> {
+    match catch_unwind(AssertUnwindSafe(decode)) {
+        Ok(Ok(Some(message))) => Ok(message),
+        Ok(Ok(None)) => Err(Error::new(Code::Malformed("it is incomplete"))),
+        Ok(Err(error)) => Err(error.into()),
+        Err(_) => Err(Error::new(Code::Malformed("a field is longer than the message"))),
+    }
 }
 
 /// Returns an error message with the given fields.
--- a/crates/standin/src/endpoint/session.rs
+++ b/crates/standin/src/endpoint/session.rs
@@ -13,14 +13,16 @@
 use tamarackbend_net::{Reader, Writer, split};
 use tamarackbend_postgres::message::{
     self, Authentication, Backend, Bind, BindComplete, CloseComplete, CommandComplete, DataRow,
-    DecodeContext, EmptyQueryResponse, Frontend, NoData, ParameterDescription, ParameterStatus,
-    ParseComplete, ProtocolVersion, ReadyForQuery, RowDescription, Startup, TransactionStatus,
+    EmptyQueryResponse, Frontend, NoData, ParameterDescription, ParameterStatus, ParseComplete,
+    ReadyForQuery, RowDescription, Startup, TransactionStatus,
 };
 
 use super::engine::{self, Failure, LoggedStatement, Rows};
 use super::log::{Server, replicate_from};
 use super::{infer, types};
 
+/// Maximum size of a node's message, in bytes.
+const MAX_MESSAGE_BYTES: usize = 64 << 20;
 /// Pause before a statement that met a lock is retried.
 const LOCK_RETRY_DELAY: Duration = Duration::from_millis(1);
 /// Maximum number of attempts at a statement that meets locks.
@@ -141,7 +143,9 @@
             return None;
         }
         pause(delay).await;
-        while let Some(message) = message::take_frontend(&mut reader.input).ok()? {
+        while let Some(message) =
+            message::take_frontend(&mut reader.input, MAX_MESSAGE_BYTES).ok()?
+        {
             wait_until_responsive(&server).await;
             session.handle(message).await?;
         }
@@ -155,10 +159,8 @@
 }
 
 async fn read_startup(reader: &mut Reader) -> Option<Startup> {
-    let mut context = DecodeContext::new(ProtocolVersion::PROTOCOL3_0);
-    context.awaiting_frontend_ssl = false;
     loop {
-        match Frontend::decode(&mut reader.input, &context).ok()? {
+        match message::take_startup(&mut reader.input, MAX_MESSAGE_BYTES).ok()? {
             Some(Frontend::Startup(startup)) => return Some(startup),
             Some(_) => return None,
             None if reader.fill().await.ok()? == 0 => return None,
