Await the answer to a release before acquiring the lease again

Cause: answers to writes of the lease carry no mark of their write. A release noted no pending write, so when a slow store answered it after the next acquisition had been sent, the answer counted as that of the acquisition, and the acquisition's own conflict was ignored.

Unanswered writes of the lease are now counted, releases included, and no acquisition begins while an answer to an earlier write may still arrive: at most the time after which a write is repeated.

--- a/crates/router/src/router/lease.rs
+++ b/crates/router/src/router/lease.rs
@@ -41,6 +41,10 @@
     pending_write: Option<(Time, Lease)>,
     /// Number of writes so far.
     writes: u64,
+    /// Number of writes without an answer, and when the last one was sent. An answer does not tell which
+    /// write it belongs to.
+    unanswered: u32,
+    last_write_at: Time,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -66,9 +70,16 @@
             next_read_at: Time::ZERO,
             pending_write: None,
             writes: 0,
+            unanswered: 0,
+            last_write_at: Time::ZERO,
         }
     }
 
+    /// Returns whether an answer to an earlier write may still arrive.
+    fn awaits_answer(&self, now: Time) -> bool {
+        self.unanswered > 0 && now < self.last_write_at + STORE_TIMEOUT
+    }
+
     /// Returns the fencing token if the lease is held and valid long enough for a promotion.
     pub(super) fn token(&self, now: Time) -> Option<u64> {
         match self.phase {
@@ -136,7 +147,9 @@
             .values()
             .any(|group| group.failover.as_ref().is_some_and(|failover| failover.needs_lease()));
         match self.lease.phase {
+            Phase::Idle if self.lease.awaits_answer(now) => {}
             Phase::Idle if is_needed && now >= self.lease.next_read_at => {
+                self.lease.unanswered = 0;
                 self.lease.phase = Phase::Reading(now);
                 self.actions.push(Action::FetchRecord(RecordName::Lease));
             }
@@ -153,8 +166,7 @@
                 info!(revision = revision.number, "no failover needs the lease; releasing it");
                 self.lease.phase = Phase::Idle;
                 let era = self.lease.current_era();
-                let released = Record::Lease(Lease { era, ..Lease::default() });
-                self.actions.push(Action::WriteRecord(RecordName::Lease, Some(revision), released));
+                self.send_lease(Some(revision), Lease { era, ..Lease::default() });
             }
             Phase::Held { since, revision, token, renewal_sent_at } => {
                 let is_due = now >= since + LEASE_RENEWAL;
@@ -177,6 +189,12 @@
             serial: self.lease.writes,
         };
         self.lease.pending_write = Some((self.now, lease.clone()));
+        self.send_lease(revision, lease);
+    }
+
+    fn send_lease(&mut self, revision: Option<Revision>, lease: Lease) {
+        self.lease.unanswered += 1;
+        self.lease.last_write_at = self.now;
         self.actions.push(Action::WriteRecord(RecordName::Lease, revision, Record::Lease(lease)));
     }
 
@@ -248,6 +266,7 @@
     }
 
     fn on_lease_written(&mut self, result: &WriteResult) {
+        self.lease.unanswered = self.lease.unanswered.saturating_sub(1);
         let Some((sent_at, lease)) = self.lease.pending_write.take() else { return };
         let is_renewal = matches!(self.lease.phase, Phase::Held { .. });
         if !is_renewal && !matches!(self.lease.phase, Phase::Acquiring(_)) {
