--- a/crates/postgres/src/message.rs
+++ b/crates/postgres/src/message.rs
@@ -125,11 +125,8 @@
     if header_bytes + length > max_bytes {
         return Err(Error::new(Code::TooLarge(max_bytes)));
     }
-    if input.len() < header_bytes + length {
-        input.reserve(header_bytes + length - input.len());
-        return Ok(None);
-    }
-    Ok(Some(input.split_to(header_bytes + length)))
+    // Nothing is reserved for a message whose bytes have not arrived: its length may be false.
+    Ok((input.len() >= header_bytes + length).then(|| input.split_to(header_bytes + length)))
 }
 
 /// Decodes a complete message. The library panics if a field is longer than the message.
