--- a/crates/objects/tests/regression_held_up_request.rs
+++ b/crates/objects/tests/regression_held_up_request.rs
@@ -39,7 +39,7 @@
 
 async fn promote(address: SocketAddr) {
     let call = Call::new(Method::Post, "/promote".to_owned())
-        .with_header("Fencing-Token", "7".to_owned())
+        .with_header("Token", "7".to_owned())
         .with_body(json!({ "service": "s", "id": "i" }));
     let reply = one_shot::call(address, &call, TIME_LIMIT).await;
     assert!(reply.is_err_and(|error| error.is_unavailable()));
