Log the names of prepared statements on connections

The logs held retries but neither the names under which statements are prepared at endpoints nor those under which they are executed, so a name that is built wrongly could not be told from two messages that are joined, nor from the name of another session's statement. Both are logged at debug, names in quotes.

Not run with a load: the lines are off at the default level.

--- a/crates/router/src/connection.rs
+++ b/crates/router/src/connection.rs
@@ -6,6 +6,8 @@
 
 use std::collections::{HashSet, VecDeque};
 
+use tracing::debug;
+
 use crate::customer::CustomerName;
 use crate::message::{
     Command, ConnectionId, EndpointId, Order, ServiceName, SessionId, Statement, Time,
@@ -145,6 +147,10 @@
         {
             let shared_name = prepared.shared_name();
             if self.prepared.insert(shared_name.clone()) {
+                debug!(
+                    connection = self.id, endpoint = %self.endpoint, prepared = ?shared_name,
+                    text_bytes = prepared.shape.len(), "preparing a statement"
+                );
                 let prepare = Statement::Prepare {
                     name: shared_name,
                     access: prepared.access,
--- a/crates/router/src/router/dispatch.rs
+++ b/crates/router/src/router/dispatch.rs
@@ -6,6 +6,8 @@
 
 use std::collections::BTreeMap;
 
+use tracing::debug;
+
 use super::Router;
 use super::clients::staleness_bound;
 use crate::admission::queue::Kind;
@@ -277,10 +279,12 @@
         let sent_statement = match &operation.statement {
             Statement::Execute { name, arguments } => {
                 let shared_name = session.prepared.get(name).map(|prepared| prepared.shared_name());
-                Statement::Execute {
-                    name: shared_name.unwrap_or_else(|| name.clone()),
-                    arguments: arguments.clone(),
-                }
+                let name = shared_name.unwrap_or_else(|| name.clone());
+                debug!(
+                    request = %operation.id, connection, prepared = ?name,
+                    "executing a prepared statement"
+                );
+                Statement::Execute { name, arguments: arguments.clone() }
             }
             other => other.clone(),
         };
