Keep prepared statements at the stand-ins' endpoints

The stand-in's endpoints executed a prepared statement by the first letter of its name, because nodes began the names of reads with `r` and those of writes with `w`. They forgot what was prepared, so a node that executed another statement than its client, or one under a name with blanks, was answered with success.

Endpoints now hold the prepared statements and the session values of each connection: `EXEC` reads or writes according to what was prepared under its name, an unknown name is answered with NOSTMT, and `RESET` clears both.

--- a/crates/replica/src/endpoint.rs
+++ b/crates/replica/src/endpoint.rs
@@ -1,9 +1,11 @@
 //! Model of an endpoint: a replicated log of commits, ordered by term and number.
 
+use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use tamarackbend_router::message::{
-    Answer, Command, Fault, Order, Outcome, Position, Role, Statement, Status, Term,
+    Access, Answer, Command, Fault, Order, Outcome, Position, Role, Statement, Status, Term,
     TransactionState,
 };
 
@@ -18,12 +20,43 @@
     pub writes: Vec<String>,
 }
 
+/// Values that were set on a connection, by name.
+pub type Values = BTreeMap<String, String>;
+
+/// Prepared statement.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Prepared {
+    /// Whether the statement reads or writes.
+    pub access: Access,
+    /// Text of the statement.
+    pub text: Rc<str>,
+}
+
 /// State of a connection to an endpoint.
 #[derive(Clone, Debug, Default)]
 pub struct Connection {
+    /// Session values.
+    pub values: Values,
+    /// Prepared statements by name.
+    pub prepared: BTreeMap<String, Prepared>,
     transaction: Option<Transaction>,
 }
 
+impl Connection {
+    /// Returns the read or write that executes a prepared statement, and any other statement as it is.
+    /// None if the prepared statement does not exist.
+    pub fn resolve(&self, statement: &Statement) -> Option<Statement> {
+        let Statement::Execute { name, arguments } = statement else {
+            return Some(statement.clone());
+        };
+        let arguments = arguments.clone();
+        Some(match self.prepared.get(name)?.access {
+            Access::Read => Statement::Read { arguments },
+            Access::Write => Statement::Write { arguments },
+        })
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Transaction {
     read_only: bool,
@@ -153,7 +186,11 @@
         }
         match &command.order {
             Order::Statement(statement) => self.execute_statement(connection, &id, statement, now),
-            Order::Reset => (self.completion(connection), Effect::Nothing),
+            Order::Reset => {
+                connection.values.clear();
+                connection.prepared.clear();
+                (self.completion(connection), Effect::Nothing)
+            }
             Order::Status => (self.status_answer(connection), Effect::Nothing),
             Order::FenceTerm(term) => {
                 if *term > self.term && self.role == Role::Replica {
@@ -182,6 +219,9 @@
         now: Duration,
     ) -> (Answer, Effect) {
         let is_primary = self.role == Role::Primary;
+        let Some(statement) = &connection.resolve(statement) else {
+            return (self.error(connection, Fault::NoStatement), Effect::Nothing);
+        };
         if let Some(transaction) = &connection.transaction
             && !transaction.read_only
             && (!is_primary || transaction.term != self.term)
@@ -229,7 +269,22 @@
                 answer.rows = vec![self.read_item(arguments).to_owned()];
                 (answer, read)
             }
-            _ => (self.completion(connection), Effect::Nothing),
+            Statement::Set { name, value } => {
+                connection.values.insert(name.clone(), value.clone());
+                (self.completion(connection), Effect::Nothing)
+            }
+            Statement::Prepare { name, access, shape } => {
+                let prepared = Prepared { access: *access, text: shape.as_str().into() };
+                connection.prepared.insert(name.clone(), prepared);
+                (self.completion(connection), Effect::Nothing)
+            }
+            Statement::Close { name } => {
+                connection.prepared.remove(name);
+                (self.completion(connection), Effect::Nothing)
+            }
+            Statement::Execute { .. } => {
+                (self.error(connection, Fault::NoStatement), Effect::Nothing)
+            }
         }
     }
 
@@ -259,7 +314,8 @@
         self.answer(connection, Outcome::Complete(Some("proof".to_owned())))
     }
 
-    fn error(&self, connection: &Connection, fault: Fault) -> Answer {
+    /// Returns the answer to a command that is not run.
+    pub fn error(&self, connection: &Connection, fault: Fault) -> Answer {
         let mut answer = self.answer(connection, Outcome::Error { fault, text: String::new() });
         if connection.transaction.is_some() {
             answer.state = TransactionState::Failed;
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -10,4 +10,4 @@
 mod endpoint;
 
 pub use checker::{Checker, Freshness, guarantees_no_effect};
-pub use endpoint::{Connection, Effect, Endpoint, Entry};
+pub use endpoint::{Connection, Effect, Endpoint, Entry, Prepared, Values};
