Test the texts of prepared statements

The tests in `crates/router/tests` follow the commands that a router sends: each name is one word, and never stands for two statements on a connection, also after a reset or a loss.

--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -22,6 +22,8 @@
     pub now: Duration,
     /// Connections that were opened to endpoints and not lost.
     pub connections: HashMap<ConnectionId, Entry>,
+    /// Commands to endpoints, in the order of sending.
+    pub commands: Vec<(ConnectionId, Command)>,
     lost_role: Option<Role>,
     /// Actions that concern neither connections to endpoints nor their commands.
     pub actions: Vec<Action>,
@@ -76,6 +78,7 @@
             router: Router::new(settings, 1, START),
             now: START,
             connections: HashMap::new(),
+            commands: Vec::new(),
             lost_role: None,
             actions: Vec::new(),
         };
@@ -114,6 +117,7 @@
     }
 
     fn answer(&mut self, connection: ConnectionId, command: &Command) {
+        self.commands.push((connection, command.clone()));
         let Some(entry) = self.connections.get(&connection) else { return };
         let status = Status {
             role: entry.role,
