Number prepared statements on connections

Traces showed as well that one session's text replaced the statement of another (PINNED).

Cause: the name of a prepared statement at endpoints was 'r' or 'w' and its text, so that sessions share it. The text is the last field of PREPARE and may hold blanks; the name is one word. A text such as 'q2 READ oojafzf' became the name 'rq2', and the rest of it the item.

Ruled out: messages that are joined or split, as each id and message of the traces arrived whole and once, also with single CRs and LFs; the name of another session's statement, as each logged name was built from its own text.

Statements are now numbered on their connection, and numbers are never used again there, also after a reset that is lost. An execution holds the statement that was prepared under its name when it was received, in place of a look-up when it is sent, and the client's own name is never sent.

Why it works: a number is one word whatever the text holds, and two statements of a connection never have the same number.

--- a/crates/router/src/connection.rs
+++ b/crates/router/src/connection.rs
@@ -4,7 +4,8 @@
 //! statements, so that few have to be replayed for the next session. A connection is free once
 //! every command that was sent over it has been answered.
 
-use std::collections::{HashSet, VecDeque};
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
 
 use tracing::debug;
 
@@ -12,7 +13,7 @@
 use crate::message::{
     Command, ConnectionId, EndpointId, Order, ServiceName, SessionId, Statement, Time,
 };
-use crate::session::{Session, Values};
+use crate::session::{PreparedStatement, Values};
 
 /// Prepared statements that one connection may hold; the connection is reset once it has more.
 const MAX_PREPARED_STATEMENTS: usize = 256;
@@ -42,7 +43,10 @@
     /// Time of the last answer; before the first one, the time of the request.
     pub last_answer_at: Time,
     values: Values,
-    prepared: HashSet<String>,
+    /// Numbers of the prepared statements.
+    prepared: HashMap<Rc<PreparedStatement>, u64>,
+    /// Grows for the life of the connection, so that no name ever stands for two statements.
+    next_prepared_number: u64,
 }
 
 /// Command that waits for its answer.
@@ -54,6 +58,15 @@
     pub purpose: Purpose,
 }
 
+/// What a connection needs before a statement is sent over it.
+#[derive(Debug, Default)]
+pub struct Setup {
+    /// Commands that precede the statement, sent with [`Purpose::Setup`].
+    pub commands: Vec<Command>,
+    /// Name on the connection of the prepared statement that the statement executes.
+    pub prepared_name: Option<String>,
+}
+
 /// Why a command was sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Purpose {
@@ -96,7 +109,8 @@
             unanswered: VecDeque::new(),
             last_answer_at: now,
             values: Values::new(),
-            prepared: HashSet::new(),
+            prepared: HashMap::new(),
+            next_prepared_number: 0,
         }
     }
 
@@ -119,47 +133,46 @@
         }
     }
 
-    /// Returns the commands that prepare the connection for `statement` of `session`.
-    ///
-    /// They are sent with [`Purpose::Setup`].
-    pub fn setup_commands(
-        &mut self,
-        session: &Session,
-        statement: Option<&Statement>,
-    ) -> Vec<Command> {
-        let mut commands = Vec::new();
-        let is_compatible =
-            self.values.iter().all(|(name, value)| session.values.get(name) == Some(value));
+    /// Prepares the connection for a statement of a session with `values` that executes `prepared`.
+    pub fn setup(&mut self, values: &Values, prepared: Option<&Rc<PreparedStatement>>) -> Setup {
+        let mut setup = Setup::default();
+        let is_compatible = self.values.iter().all(|(name, value)| values.get(name) == Some(value));
         if !is_compatible || self.prepared.len() > MAX_PREPARED_STATEMENTS {
             self.values.clear();
             self.prepared.clear();
-            commands.push(Command::new(Order::Reset));
+            setup.commands.push(Command::new(Order::Reset));
         }
-        for (name, value) in &session.values {
+        for (name, value) in values {
             if self.values.get(name) != Some(value) {
                 self.values.insert(name.clone(), value.clone());
                 let set = Statement::Set { name: name.clone(), value: value.clone() };
-                commands.push(Command::new(Order::Statement(set)));
+                setup.commands.push(Command::new(Order::Statement(set)));
             }
         }
-        if let Some(Statement::Execute { name, .. }) = statement
-            && let Some(prepared) = session.prepared.get(name)
-        {
-            let shared_name = prepared.shared_name();
-            if self.prepared.insert(shared_name.clone()) {
-                debug!(
-                    connection = self.id, endpoint = %self.endpoint, prepared = ?shared_name,
-                    text_bytes = prepared.shape.len(), "preparing a statement"
-                );
-                let prepare = Statement::Prepare {
-                    name: shared_name,
-                    access: prepared.access,
-                    shape: prepared.shape.clone(),
-                };
-                commands.push(Command::new(Order::Statement(prepare)));
-            }
+        if let Some(prepared) = prepared {
+            let number = self.prepared.get(prepared).copied().unwrap_or_else(|| {
+                let number = self.next_prepared_number;
+                self.next_prepared_number += 1;
+                self.prepared.insert(prepared.clone(), number);
+                setup.commands.push(self.prepare_command(prepared, number));
+                number
+            });
+            setup.prepared_name = Some(prepared_name(number));
         }
-        commands
+        setup
+    }
+
+    fn prepare_command(&self, prepared: &PreparedStatement, number: u64) -> Command {
+        let name = prepared_name(number);
+        debug!(
+            connection = self.id, endpoint = %self.endpoint, prepared = name,
+            text_bytes = prepared.shape.len(), "preparing a statement"
+        );
+        Command::new(Order::Statement(Statement::Prepare {
+            name,
+            access: prepared.access,
+            shape: prepared.shape.clone(),
+        }))
     }
 
     /// Forgets the connection's prepared statements.
@@ -167,3 +180,9 @@
         self.prepared.clear();
     }
 }
+
+/// Returns the name of a prepared statement on its connection. The statement's text is not part of the
+/// name: it may hold any characters, and a name is one word.
+fn prepared_name(number: u64) -> String {
+    format!("p{number}")
+}
--- a/crates/router/src/router/clients.rs
+++ b/crates/router/src/router/clients.rs
@@ -3,6 +3,8 @@
 //! Requests that only change the session (begin, set, prepare, close) are answered at once. Any
 //! other statement becomes an [`Operation`], which waits until it is placed on a connection.
 
+use std::rc::Rc;
+
 use tamarackbend_policy::code::Code;
 use tracing::debug;
 
@@ -132,7 +134,7 @@
                 self.reply_complete(id);
             }
             Statement::Prepare { name, access, shape } => {
-                session.prepared.insert(name, PreparedStatement { access, shape });
+                session.prepared.insert(name, Rc::new(PreparedStatement { access, shape }));
                 self.reply_complete(id);
             }
             Statement::Close { name } => {
@@ -225,6 +227,7 @@
         session.current = Some(Operation {
             serial: session.last_serial,
             id: statement_id,
+            prepared: session.prepared_statement(&statement),
             statement,
             access,
             received_at: now,
--- a/crates/router/src/router/dispatch.rs
+++ b/crates/router/src/router/dispatch.rs
@@ -165,11 +165,11 @@
             floor.is_some() && (transaction.is_read_only || !self.is_remote(service));
         let begin = Statement::Begin { read_only: is_read_only };
         let command = Command::new(Order::Statement(begin)).with_min_position(floor.filter(is_set));
-        let mut commands = self.setup(connection, id, None);
+        let Some(state) = self.connections.get_mut(&connection) else { return Placement::Done };
+        let setup = state.setup(&session.values, None);
+        let mut commands = with_purpose(setup.commands, Purpose::Setup);
         commands.push((command, Purpose::Begin(id)));
-        if let Some(state) = self.connections.get_mut(&connection) {
-            state.transaction_session = Some(id);
-        }
+        state.transaction_session = Some(id);
         if let Some(transaction) = self.sessions.get_mut(&id).and_then(|s| s.transaction.as_mut()) {
             transaction.phase = Phase::Opening(connection);
             transaction.floor = floor;
@@ -276,19 +276,19 @@
     ) {
         let Some(session) = self.sessions.get(&id) else { return };
         let Some(operation) = session.current.clone() else { return };
-        let sent_statement = match &operation.statement {
-            Statement::Execute { name, arguments } => {
-                let shared_name = session.prepared.get(name).map(|prepared| prepared.shared_name());
-                let name = shared_name.unwrap_or_else(|| name.clone());
+        let Some(state) = self.connections.get_mut(&connection) else { return };
+        let setup = state.setup(&session.values, operation.prepared.as_ref());
+        let sent_statement = match (setup.prepared_name, &operation.statement) {
+            (Some(name), Statement::Execute { arguments, .. }) => {
                 debug!(
-                    request = %operation.id, connection, prepared = ?name,
+                    request = %operation.id, connection, prepared = name,
                     "executing a prepared statement"
                 );
                 Statement::Execute { name, arguments: arguments.clone() }
             }
-            other => other.clone(),
+            (_, other) => other.clone(),
         };
-        let mut commands = self.setup(connection, id, Some(&operation.statement));
+        let mut commands = with_purpose(setup.commands, Purpose::Setup);
         let command = Command::new(Order::Statement(sent_statement))
             .with_id(&operation.id)
             .with_min_position(min_position);
@@ -304,18 +304,6 @@
         self.record_sent(&operation.route.service, id);
     }
 
-    fn setup(
-        &mut self,
-        connection: ConnectionId,
-        id: SessionId,
-        statement: Option<&Statement>,
-    ) -> Vec<(Command, Purpose)> {
-        let Some(state) = self.connections.get_mut(&connection) else { return Vec::new() };
-        let Some(session) = self.sessions.get(&id) else { return Vec::new() };
-        let commands = state.setup_commands(session, statement);
-        commands.into_iter().map(|command| (command, Purpose::Setup)).collect()
-    }
-
     /// Returns the floor of a read received at `received_at`: the position that an endpoint must
     /// hold to serve the read. None if only the primary can serve it.
     fn read_floor(
@@ -509,6 +497,10 @@
     }
 }
 
+fn with_purpose(commands: Vec<Command>, purpose: Purpose) -> Vec<(Command, Purpose)> {
+    commands.into_iter().map(|command| (command, purpose.clone())).collect()
+}
+
 /// Returns whether a position is set: a floor of term 0 requires nothing.
 fn is_set(position: &Position) -> bool {
     position.term > 0
--- a/crates/router/src/session.rs
+++ b/crates/router/src/session.rs
@@ -1,6 +1,7 @@
 //! Sessions of clients, with their transactions and statements.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::rc::Rc;
 
 use crate::configuration::Route;
 use crate::customer::{CustomerName, KeyDigest};
@@ -13,7 +14,7 @@
 pub type Values = BTreeMap<String, String>;
 
 /// Prepared statement of a session.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct PreparedStatement {
     /// Whether the statement reads or writes.
     pub access: Access,
@@ -21,16 +22,6 @@
     pub shape: String,
 }
 
-impl PreparedStatement {
-    /// Returns the name of the statement on connections, which is the same for all sessions.
-    pub fn shared_name(&self) -> String {
-        match self.access {
-            Access::Read => format!("r{}", self.shape),
-            Access::Write => format!("w{}", self.shape),
-        }
-    }
-}
-
 /// Time after the start of a session within which a first request was ready before the start.
 const FIRST_REQUEST_DELAY: Time = Time::from_millis(50);
 
@@ -60,7 +51,7 @@
     /// Values that the session has set.
     pub values: Values,
     /// Prepared statements by name.
-    pub prepared: HashMap<String, PreparedStatement>,
+    pub prepared: HashMap<String, Rc<PreparedStatement>>,
     /// Position of the session's last commit in each service.
     pub last_commits: HashMap<ServiceName, Position>,
     /// Open or failed transaction.
@@ -141,6 +132,8 @@
     pub id: String,
     /// The statement.
     pub statement: Statement,
+    /// The prepared statement that the statement executes, if any.
+    pub prepared: Option<Rc<PreparedStatement>>,
     /// Whether the statement reads or writes, also for prepared statements; none for a commit.
     pub access: Option<Access>,
     /// Route of the statement.
@@ -251,16 +244,21 @@
         is_waiting && self.transaction_connection().is_none()
     }
 
+    /// Returns the prepared statement that `statement` executes; none if it executes none or an unknown one.
+    pub fn prepared_statement(&self, statement: &Statement) -> Option<Rc<PreparedStatement>> {
+        match statement {
+            Statement::Execute { name, .. } => self.prepared.get(name).cloned(),
+            _ => None,
+        }
+    }
+
     /// Returns whether `statement` reads or writes; none if it accesses no data, or executes an
     /// unknown prepared statement.
     pub fn access_of(&self, statement: &Statement) -> Option<Access> {
         match statement {
             Statement::Read { .. } => Some(Access::Read),
             Statement::Write { .. } => Some(Access::Write),
-            Statement::Execute { name, .. } => {
-                self.prepared.get(name).map(|prepared| prepared.access)
-            }
-            _ => None,
+            _ => self.prepared_statement(statement).map(|prepared| prepared.access),
         }
     }
 
