Refuse a malformed message after the statement in flight

A client that sent a write and then a message that cannot be understood was answered MALFORMED in place of the write; the endpoint's answer was dropped, and the write took effect.

Cause: while a statement is in flight, statements wait in the backlog of the session, but malformed messages did not, and neither did resets beyond the limit of the backlog. Each answer completes the statement in flight, whichever request it belongs to.

Ruled out: an answer that arrives out of order from the endpoint, as the test answers the write only after the malformed message.

All requests but the start and the end of a session now wait while a statement is in flight; one that exceeds the backlog ends the session.

--- a/crates/router/src/router/clients.rs
+++ b/crates/router/src/router/clients.rs
@@ -31,9 +31,10 @@
         let now = self.now;
         let Some(session) = self.sessions.get_mut(&id) else { return };
         session.last_active_at = now;
+        // The client's key has not been checked yet.
         let is_starting = session.database.is_some() && !session.is_accepted;
-        if is_starting && !matches!(request, Request::Start { .. } | Request::End) {
-            // The client's key has not been checked yet.
+        let must_wait = is_starting || session.current.is_some();
+        if must_wait && !matches!(request, Request::Start { .. } | Request::End) {
             match session.backlog.len() < MAX_BACKLOG {
                 true => session.backlog.push_back(request),
                 false => self.reject_session(id, Fault::Malformed, Code::BadMessage),
@@ -55,25 +56,17 @@
                 self.fail_transaction(id);
                 self.refuse(id, Fault::Malformed, Code::BadMessage, None);
             }
-            Request::Reset if session.current.is_some() && session.backlog.len() < MAX_BACKLOG => {
-                session.backlog.push_back(Request::Reset);
-            }
             Request::Reset => {
                 session.values.clear();
                 session.prepared.clear();
                 self.reply_complete(id);
             }
             Request::Statement { id: statement_id, statement, floor } => {
-                if session.current.is_some() && session.backlog.len() < MAX_BACKLOG {
-                    let request = Request::Statement { id: statement_id, statement, floor };
-                    session.backlog.push_back(request);
-                    return;
-                }
                 if let Some(floor) = floor {
                     self.raise_floor(id, floor);
                 }
                 let Some(session) = self.sessions.get(&id) else { return };
-                if session.database.is_none() || session.current.is_some() {
+                if session.database.is_none() {
                     self.reject_session(id, Fault::Malformed, Code::BadMessage);
                     return;
                 }
