Number remote groups instead of joining database and key

What callers saw: at a node whose clients poolers serve, a session for the database "db\0any" was opened at the pooler as one for "db". A client without a key that named "db\0" and the hexadecimal digest of a key got the group of "db" with that key, and so channels that were opened with it.

Cause: the name of a remote group joined the database, which a client writes and which may hold NUL, and the digest, and was read back by splitting at the first NUL. The same name is logged with statements, which put the digest of the key into logs.

Ruled out: membership::rank also joins a database and a node's name, but only as input of a hash that orders poolers; a collision changes nothing else.

Change: the router keeps the names of its remote groups by database and key. A name is a number and then the database, which extends to the end.

Why it works: two pairs of database and key have different numbers, and the first separator always ends the number, whatever the database holds.

--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -50,7 +50,7 @@
 use crate::admission::fairness::Weights;
 use crate::configuration::{Configuration, Route};
 use crate::connection::{Connection, Purpose, SentCommand};
-use crate::customer::CustomerName;
+use crate::customer::{CustomerName, KeyDigest};
 use crate::directory::{self, Directory, Entry};
 use crate::endpoint::Endpoint;
 use crate::experiment::{Experiment, Mechanism};
@@ -79,6 +79,9 @@
     weights: Weights,
     directory: Directory,
     groups: BTreeMap<ServiceName, Group>,
+    /// Names of the remote groups by database and key.
+    remote_services: HashMap<(String, Option<KeyDigest>), ServiceName>,
+    next_remote_group: u64,
     sessions: HashMap<SessionId, Session>,
     connections: BTreeMap<ConnectionId, Connection>,
     next_connection: ConnectionId,
@@ -130,6 +133,8 @@
             weights: Weights::default(),
             directory: Directory::default(),
             groups: BTreeMap::new(),
+            remote_services: HashMap::new(),
+            next_remote_group: 1,
             sessions: HashMap::new(),
             connections: BTreeMap::new(),
             next_connection: 1,
--- a/crates/router/src/router/peers.rs
+++ b/crates/router/src/router/peers.rs
@@ -7,7 +7,6 @@
 //! replays them on another channel, so that the loss of a pooler does not end the session.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::rc::Rc;
 
 use tamarackbend_policy::code::Code;
 use tracing::info;
@@ -27,8 +26,8 @@
 
 /// Prefix of the names of remote groups; names of services cannot have it.
 const REMOTE_PREFIX: &str = "\0peers/";
-/// Separates the database from the digest of the key in the name of a remote group.
-const KEY_SEPARATOR: char = '\0';
+/// Separates the number of a remote group from the database, which may hold any text.
+const NUMBER_SEPARATOR: char = '/';
 /// Added to the rank of poolers of other regions, which are used only after all of the own region.
 const OTHER_REGION_RANK: u64 = 100;
 /// Time that a read of the list of nodes usually takes; most nodes learn from it that they need no
@@ -241,7 +240,7 @@
     /// Starts a session that another node serves.
     pub(super) fn start_remote_session(&mut self, id: SessionId, database: &str) {
         let key = self.sessions.get(&id).and_then(|session| session.key);
-        let service = remote_service(database, key.as_ref());
+        let service = self.remote_service(database, key);
         if !self.groups.contains_key(&service) {
             let own_customer = key.and_then(|key| self.identify(&key));
             let customer =
@@ -256,6 +255,17 @@
         self.enqueue(&service, id);
     }
 
+    /// Returns the name of the remote group of a database, and of a key if clients are identified.
+    fn remote_service(&mut self, database: &str, key: Option<KeyDigest>) -> ServiceName {
+        let number = &mut self.next_remote_group;
+        let name = self.remote_services.entry((database.to_owned(), key)).or_insert_with(|| {
+            let name = format!("{REMOTE_PREFIX}{number}{NUMBER_SEPARATOR}{database}");
+            *number += 1;
+            name.into()
+        });
+        name.clone()
+    }
+
     /// Accepts a session once a channel for its database is open, and rejects it at the timeout.
     pub(super) fn place_session(&mut self, service: &ServiceName, id: SessionId) -> Placement {
         let Some(session) = self.sessions.get(&id) else { return Placement::Done };
@@ -420,25 +430,15 @@
                 self.disconnect(connection, "no session uses the database");
             }
             self.groups.remove(&service);
+            self.remote_services.retain(|_, name| *name != service);
         }
     }
 }
 
 /// Returns the database of a remote group; none if the group is a service.
 pub(super) fn database_of(service: &ServiceName) -> Option<&str> {
-    let rest = service.strip_prefix(REMOTE_PREFIX)?;
-    Some(rest.split_once(KEY_SEPARATOR).map_or(rest, |(database, _)| database))
-}
-
-/// Returns the name of the remote group of a database, and of a key if clients are identified.
-fn remote_service(database: &str, key: Option<&KeyDigest>) -> ServiceName {
-    match key {
-        None => Rc::from(format!("{REMOTE_PREFIX}{database}")),
-        Some(key) => {
-            let digest = encode_hex(key.as_bytes());
-            Rc::from(format!("{REMOTE_PREFIX}{database}{KEY_SEPARATOR}{digest}"))
-        }
-    }
+    let (_, database) = service.strip_prefix(REMOTE_PREFIX)?.split_once(NUMBER_SEPARATOR)?;
+    Some(database)
 }
 
 fn encode_hex(bytes: &[u8]) -> String {
