--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -6,7 +6,7 @@
 use futures_util::StreamExt;
 use tamarackbend_net::{Reader, Writer, split};
 use tamarackbend_router::Event;
-use tamarackbend_router::message::{Answer, Introduction, Request, SessionId};
+use tamarackbend_router::message::{Answer, Fault, Introduction, Request, SessionId};
 
 use crate::{Events, Protocol};
 
@@ -42,7 +42,10 @@
             }
             Ok(None) => {}
             Err(fault) => {
-                let request = Request::Malformed { id: None, reason: format!("{fault:?}") };
+                let request = match fault {
+                    Fault::TooBig => Request::TooBig { id: None },
+                    fault => Request::Malformed { id: None, reason: format!("{fault:?}") },
+                };
                 events.send(Event::ClientRequest(id, request));
                 break;
             }
--- a/crates/router/src/message.rs
+++ b/crates/router/src/message.rs
@@ -151,6 +151,11 @@
         /// Why the message cannot be parsed.
         reason: String,
     },
+    /// Message that is too large, or a statement that would be too large for endpoints.
+    TooBig {
+        /// Identifier of the statement, if the message was parsed.
+        id: Option<String>,
+    },
     /// Ends the session.
     End,
 }
--- a/crates/router/src/router/clients.rs
+++ b/crates/router/src/router/clients.rs
@@ -49,12 +49,15 @@
             }
             Request::Malformed { reason, .. } => {
                 debug!(session = id, reason, "client sent a malformed message; refusing it");
-                if session.database.is_none() {
-                    self.reject_session(id, Fault::Malformed, Code::BadMessage);
-                    return;
-                }
-                self.fail_transaction(id);
-                self.refuse(id, Fault::Malformed, Code::BadMessage, None);
+                self.refuse_message(id, Fault::Malformed);
+            }
+            Request::TooBig { id: statement_id } => {
+                debug!(
+                    session = id,
+                    request = statement_id,
+                    "client sent a message that is too large; refusing it"
+                );
+                self.refuse_message(id, Fault::TooBig);
             }
             Request::Reset => {
                 session.values.clear();
@@ -75,6 +78,17 @@
         }
     }
 
+    /// Refuses a message that is no request; ends a session that has not started.
+    fn refuse_message(&mut self, id: SessionId, fault: Fault) {
+        let Some(session) = self.sessions.get(&id) else { return };
+        if session.database.is_none() {
+            self.reject_session(id, fault, Code::BadMessage);
+            return;
+        }
+        self.fail_transaction(id);
+        self.refuse(id, fault, Code::BadMessage, None);
+    }
+
     /// Handles the next queued request of each session that has just been answered.
     pub(super) fn resume_answered_sessions(&mut self) {
         while let Some(id) = self.answered_sessions.pop() {
--- a/crates/router/tests/regression_malformed_during_statement.rs
+++ b/crates/router/tests/regression_malformed_during_statement.rs
@@ -38,19 +38,22 @@
 
 #[test]
 fn malformed_message_is_refused_after_the_statement_before_it() {
-    let (mut router, channel) = router_with_write_in_flight();
-    let actions = router.step(START, Event::ClientRequest(SESSION, malformed()));
-    assert_eq!(replies(&actions, SESSION), []);
-    let actions = router.step(START, Event::EndpointAnswered(channel, served()));
-    let replies = replies(&actions, SESSION);
-    assert_eq!(replies[0], Outcome::Complete(Some("proof".to_owned())));
-    assert_eq!(replies[1].fault(), Some(&Fault::Malformed));
-    assert_eq!(replies.len(), 2);
+    let too_big = Request::TooBig { id: None };
+    for (request, fault) in [(malformed(), Fault::Malformed), (too_big, Fault::TooBig)] {
+        let (mut router, channel) = router_with_write_in_flight();
+        let actions = router.step(START, Event::ClientRequest(SESSION, request));
+        assert_eq!(replies(&actions, SESSION), []);
+        let actions = router.step(START, Event::EndpointAnswered(channel, served()));
+        let replies = replies(&actions, SESSION);
+        assert_eq!(replies[0], Outcome::Complete(Some("proof".to_owned())));
+        assert_eq!(replies[1].fault(), Some(&fault));
+        assert_eq!(replies.len(), 2);
+    }
 }
 
 #[test]
 fn request_beyond_the_backlog_does_not_complete_the_statement_in_flight() {
-    for request in [malformed(), Request::Reset] {
+    for request in [malformed(), Request::TooBig { id: None }, Request::Reset] {
         let (mut router, _) = router_with_write_in_flight();
         let mut actions = Vec::new();
         for _ in 0..40 {
