--- a/crates/net/src/line.rs
+++ b/crates/net/src/line.rs
@@ -6,7 +6,8 @@
 use bytes::{Buf, BytesMut};
 use memchr::memmem;
 
-const TERMINATOR: &[u8] = b"\r\n";
+/// End of a line.
+pub const TERMINATOR: &str = "\r\n";
 
 /// Reason why no line can be taken from a buffer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,7 +25,7 @@
 /// Fails when the line has more than `max_bytes` bytes without its CR LF, or is not UTF-8.
 pub fn take(input: &mut BytesMut, max_bytes: usize) -> Result<Option<String>, Fault> {
     let window = &input[..input.len().min(max_bytes + TERMINATOR.len())];
-    let Some(length) = memmem::find(window, TERMINATOR) else {
+    let Some(length) = memmem::find(window, TERMINATOR.as_bytes()) else {
         return if window.len() < max_bytes + TERMINATOR.len() {
             Ok(None)
         } else {
