Refuse client messages that the decoder would change

A client that sent a query in Latin-1 had another text executed: each byte that is not UTF-8 became U+FFFD. Two names of prepared statements that differ only in such bytes became one name, so that an execution of the first would run the second. A query without its end was executed as an empty one, and text after the end of a query, or after the first empty parameter of a startup message, was dropped.

The library's decoders replace, default and skip such bytes without an error. A message is now refused with T1001 (SQLSTATE 08P01) unless its fields, encoded again, give the bytes that were received. The decoder sorts the parameters of a startup message, which are therefore checked to be UTF-8 and as long as the message.

Ruled out: a check of UTF-8 alone, which would leave dropped fields and a length of -2, decoded as NULL.

The test in fuzz.rs of the limit on a message's size used a query without its end, which is malformed. It now has an end and the same number of bytes.

Not reproduced with processes.

--- a/crates/postgres/src/message.rs
+++ b/crates/postgres/src/message.rs
@@ -6,11 +6,16 @@
 //! The decoders of the library trust the lengths in a message: they read beyond its end, into the next
 //! message, and panic at the end of the buffer. A message is therefore taken from the input by its length
 //! first, and decoded by itself.
+//!
+//! They also replace bytes that are not UTF-8 and skip bytes that belong to no field. A client's message
+//! is therefore refused unless its fields hold all of its bytes: otherwise two names could become one, or
+//! an endpoint execute a text that no client sent.
 
 use std::panic::{AssertUnwindSafe, catch_unwind};
 
 use bytes::{Buf, BytesMut};
 use pgwire::error::PgWireResult;
+use pgwire::messages::Message;
 pub use pgwire::messages::cancel::CancelRequest;
 pub use pgwire::messages::data::{
     DataRow, FieldDescription, NoData, ParameterDescription, RowDescription,
@@ -36,6 +41,8 @@
 
 /// Size of the length field, which counts itself.
 const LENGTH_BYTES: usize = 4;
+/// Size of the protocol version in a startup message.
+const VERSION_BYTES: usize = 4;
 /// Maximum size of a message of a server, in bytes: the protocol's.
 const MAX_BACKEND_BYTES: usize = i32::MAX as usize;
 
@@ -74,7 +81,12 @@
     context.awaiting_frontend_ssl = false;
     context.awaiting_frontend_startup = false;
     let Some(mut message) = take_message(input, 1, max_bytes)? else { return Ok(None) };
-    decode(|| Frontend::decode(&mut message, &context)).map(Some)
+    let original = message.clone();
+    let decoded = decode(|| Frontend::decode(&mut message, &context))?;
+    let mut encoded = BytesMut::with_capacity(original.len());
+    put_frontend(&decoded, &mut encoded)?;
+    require(encoded == original, "its fields do not hold all of its bytes")?;
+    Ok(Some(decoded))
 }
 
 /// Removes the first message of a client, complete, from `input`: the startup message, or a request for
@@ -88,12 +100,21 @@
 pub fn take_startup(input: &mut BytesMut, max_bytes: usize) -> Result<Option<Frontend>> {
     let mut context = DecodeContext::new(ProtocolVersion::PROTOCOL3_0);
     let Some(mut message) = take_message(input, 0, max_bytes)? else { return Ok(None) };
+    let original = message.clone();
     let first = decode(|| Frontend::decode(&mut message, &context))?;
     if !matches!(first, Frontend::SslNegotiation(SslNegotiationMetaMessage::None)) {
         return Ok(Some(first));
     }
     context.awaiting_frontend_ssl = false;
-    decode(|| Frontend::decode(&mut message, &context)).map(Some)
+    let second = decode(|| Frontend::decode(&mut message, &context))?;
+    if let Frontend::Startup(startup) = &second {
+        let parameters = &original[LENGTH_BYTES + VERSION_BYTES..];
+        require(std::str::from_utf8(parameters).is_ok(), "a parameter is not UTF-8")?;
+        // The decoder sorts the parameters.
+        let is_whole = startup.message_length() == original.len();
+        require(is_whole, "its parameters do not hold all of its bytes")?;
+    }
+    Ok(Some(second))
 }
 
 /// Removes the next complete backend message from `input`.
@@ -129,6 +150,10 @@
     Ok((input.len() >= header_bytes + length).then(|| input.split_to(header_bytes + length)))
 }
 
+fn require(is_valid: bool, fault: &'static str) -> Result<()> {
+    if is_valid { Ok(()) } else { Err(Error::new(Code::Malformed(fault))) }
+}
+
 /// Decodes a complete message. The library panics if a field is longer than the message.
 fn decode<T>(decode: impl FnOnce() -> PgWireResult<Option<T>>) -> Result<T> {
     match catch_unwind(AssertUnwindSafe(decode)) {
--- a/crates/postgres/tests/fuzz.rs
+++ b/crates/postgres/tests/fuzz.rs
@@ -77,7 +77,7 @@
 #[test]
 fn complete_message_above_the_limit_is_refused() {
     let mut input = BytesMut::new();
-    put(&mut input, b'Q', &[b'x'; 100]);
+    put(&mut input, b'Q', &[&[b'x'; 99][..], b"\0"].concat());
     assert!(take_frontend(&mut input.clone(), 104).is_err());
     assert!(take_frontend(&mut input, 105).is_ok_and(|message| message.is_some()));
 }
