Take the maximum age only from a comment

A read with '/* tamarackbend.max_age=5s */' in a string, a quoted name or a line comment was allowed to return data of that age if its session had no floor yet; a known floor still applied. A hint after another comment, or after a string with '/*', had no effect.

The hint was what stood between the first '/*' and the first '*/' of the text. It is now taken from the comments that the tokenizer finds, so the content of a string is never a hint. Texts without the word are not tokenized a second time.

--- a/crates/sql/src/lib.rs
+++ b/crates/sql/src/lib.rs
@@ -21,6 +21,7 @@
 };
 use sqlparser::dialect::PostgreSqlDialect;
 use sqlparser::parser::Parser;
+use sqlparser::tokenizer::{Token, Tokenizer, Whitespace};
 
 /// Start of a hint comment, before the maximum staleness that the statement accepts.
 const MAX_AGE_HINT: &str = "tamarackbend.max_age=";
@@ -81,9 +82,16 @@
 }
 
 fn max_age_hint(sql: &str) -> Option<Duration> {
-    let (_, comment) = sql.split_once("/*")?;
-    let (comment, _) = comment.split_once("*/")?;
-    parse_age(comment.trim().strip_prefix(MAX_AGE_HINT)?)
+    if !sql.contains(MAX_AGE_HINT) {
+        return None;
+    }
+    let tokens = Tokenizer::new(&PostgreSqlDialect {}, sql).tokenize().ok()?;
+    tokens.iter().find_map(|token| match token {
+        Token::Whitespace(Whitespace::MultiLineComment(comment)) => {
+            parse_age(comment.trim().strip_prefix(MAX_AGE_HINT)?)
+        }
+        _ => None,
+    })
 }
 
 fn classify_all(statements: &[Statement]) -> Class {
