Return the character set that SET NAMES asks for

'SET NAMES 'LATIN1'' was answered as if it had taken effect: the classification returned UTF8 for every name. The client then exchanged Latin-1 on a session that is UTF-8. The values of other parameters were cut out of the printed statement by their outer quotes, so that '''5s''' and '5s' were the same value, and a list could be the same as one text.

A value is now the content of its literal, or the text of another expression. A list of values and SET NAMES with a collation are refused as other state of the connection is. Endpoints never saw these statements, so none of them has to be reset.

--- a/crates/sql/src/lib.rs
+++ b/crates/sql/src/lib.rs
@@ -144,18 +144,28 @@
 
 fn classify_set(set: &Set) -> Class {
     match set {
-        Set::SingleAssignment { variable, values, scope: None, .. } => {
-            let value = values.iter().map(ToString::to_string).collect::<Vec<_>>().join(",");
-            let value = value.trim_matches('\'').to_owned();
-            Class::Set { name: variable.to_string().to_lowercase(), value }
-        }
-        Set::SetNames { .. } => {
-            Class::Set { name: "client_encoding".to_owned(), value: "UTF8".to_owned() }
+        Set::SingleAssignment { variable, values, scope: None, .. } => match &values[..] {
+            [value] => {
+                Class::Set { name: variable.to_string().to_lowercase(), value: value_text(value) }
+            }
+            _ => Class::Stateful,
+        },
+        Set::SetNames { charset_name, collation_name: None } => {
+            Class::Set { name: "client_encoding".to_owned(), value: charset_name.value.clone() }
         }
         _ => Class::Stateful,
     }
 }
 
+/// Returns the content of a literal, or the text of another expression.
+fn value_text(value: &Expr) -> String {
+    let literal = match value {
+        Expr::Value(literal) => literal.clone().into_string(),
+        _ => None,
+    };
+    literal.unwrap_or_else(|| value.to_string())
+}
+
 fn has_no_effects(statement: &Statement) -> bool {
     statement.visit(&mut EffectFinder { statements: 0 }).is_continue()
 }
