Encode the names of objects in paths

For a database whose name has a character that means something in a URL, nodes read and wrote an object other than the one of its name: 'a?x', 'a#x' and 'a' were the same object, '../config/head' another kind, and blanks at the end and line ends were left out. A promotion in one such database would have replaced the primary of another.

Paths were joined from the kind and the name as they stood. All but the unreserved characters of a name are now percent-encoded, in reads, updates and watches, and the server decodes them. An empty name, '.' and '..' are refused: URLs are normalized, and such a segment is removed even if it is encoded. Names of letters, digits and hyphens have the same paths as before.

Not reproduced with processes.

--- a/crates/objects/src/client.rs
+++ b/crates/objects/src/client.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use serde_json::value::RawValue;
@@ -17,6 +18,9 @@
 /// Time limit of a call; a watch adds its own wait.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Characters that are encoded in a path: all but the unreserved ones of RFC 3986.
+const RESERVED: &AsciiSet = &NON_ALPHANUMERIC.remove(b'-').remove(b'.').remove(b'_').remove(b'~');
+
 /// Client of the object API.
 #[derive(Clone)]
 pub struct Client {
@@ -42,9 +46,10 @@
     ///
     /// # Errors
     ///
-    /// Fails when the platform does not answer or refuses the call.
+    /// Fails when the platform does not answer or refuses the call, or when the name is empty, `.` or
+    /// `..`, which no path can hold.
     pub async fn get(&self, kind: &str, name: &str) -> Result<Option<Object>> {
-        let call = Call::new(Method::Get, object_path(kind, name));
+        let call = Call::new(Method::Get, object_path("objects", kind, name)?);
         let reply = self.http.call(&call, CALL_TIMEOUT).await?;
         match reply.status {
             404 => Ok(None),
@@ -60,7 +65,7 @@
     /// Fails with a conflict when the object has another version. When the platform does not
     /// answer, the update may have taken effect.
     pub async fn put(&self, kind: &str, name: &str, version: u64, value: &Value) -> Result<u64> {
-        let path = format!("{}?version={version}", object_path(kind, name));
+        let path = format!("{}?version={version}", object_path("objects", kind, name)?);
         let call = Call::new(Method::Put, path).with_body(value.clone());
         let reply = self.http.call(&call, CALL_TIMEOUT).await?;
         match reply.status {
@@ -76,8 +81,9 @@
     ///
     /// Fails when the platform does not answer.
     pub async fn watch(&self, kind: &str, name: &str, version: u64, wait: Duration) -> Result<u64> {
+        let path = object_path("watch", kind, name)?;
         let query = format!("version={version}&wait_ms={}", wait.as_millis());
-        let call = Call::new(Method::Get, format!("/watch/{kind}/{name}?{query}"));
+        let call = Call::new(Method::Get, format!("{path}?{query}"));
         let reply = self.http.call(&call, CALL_TIMEOUT + wait).await?;
         Ok(decode_body::<WatchResponse>(reply)?.version)
     }
@@ -95,8 +101,14 @@
     }
 }
 
-fn object_path(kind: &str, name: &str) -> String {
-    format!("/objects/{kind}/{name}")
+/// Returns the path of an object; its name is one segment.
+fn object_path(root: &str, kind: &str, name: &str) -> Result<String> {
+    // URLs are normalized: such a segment would be removed, even if it were encoded.
+    if matches!(name, "" | "." | "..") {
+        let what = format!("name {name:?} of an object");
+        return Err(Error::new(Code::Invalid(what, "it cannot stand in a path".to_owned())));
+    }
+    Ok(format!("/{root}/{kind}/{}", utf8_percent_encode(name, RESERVED)))
 }
 
 fn decode_vm(entry: &RawValue) -> Option<Vm> {
