Refuse to encode texts with a zero byte

A text in a PostgreSQL message ends at its first zero byte. A database configured as 'pacht\0user\0postgres' would have nodes log in to endpoints as the user 'postgres', and a zero byte in the text of an error or the name of a column would begin further fields of the answer. An empty parameter name would end a startup message.

The library's encoders write texts as they stand. The functions that append a message now fail if one of its texts has a zero byte, and leave the output as it was; before, a message that was too large left its first byte there.

Ruled out: texts of clients, whose fields end at the byte as well. The names of databases come from the document that an operator writes.

Evidence: with the previous encoder the new test fails at its first message, the startup message with that database; with the change the tests of the crate pass.

--- a/crates/postgres/src/message.rs
+++ b/crates/postgres/src/message.rs
@@ -55,18 +55,60 @@
 ///
 /// # Errors
 ///
-/// Fails when the message is too large for the protocol.
+/// Fails when the message is too large for the protocol, or a text in it has a zero byte, which would
+/// end its field. `output` is then unchanged.
 pub fn put_backend(message: &Backend, output: &mut BytesMut) -> Result<()> {
-    Ok(message.encode(output)?)
+    let is_text = match message {
+        Backend::ErrorResponse(error) => error.fields.iter().all(|(_, text)| is_text(text)),
+        Backend::NoticeResponse(notice) => notice.fields.iter().all(|(_, text)| is_text(text)),
+        Backend::CommandComplete(complete) => is_text(&complete.tag),
+        Backend::ParameterStatus(status) => is_text(&status.name) && is_text(&status.value),
+        Backend::RowDescription(row) => row.fields.iter().all(|field| is_text(&field.name)),
+        _ => true,
+    };
+    put(is_text, output, |output| message.encode(output))
 }
 
 /// Appends an encoded frontend message to `output`.
 ///
 /// # Errors
 ///
-/// Fails when the message is too large for the protocol.
+/// Fails when the message is too large for the protocol, or a text in it has a zero byte, which would
+/// end its field. `output` is then unchanged.
 pub fn put_frontend(message: &Frontend, output: &mut BytesMut) -> Result<()> {
-    Ok(message.encode(output)?)
+    let is_name = |name: &Option<String>| name.as_deref().is_none_or(is_text);
+    let is_text = match message {
+        Frontend::Startup(startup) => startup
+            .parameters
+            .iter()
+            .all(|(name, value)| !name.is_empty() && is_text(name) && is_text(value)),
+        Frontend::Query(query) => is_text(&query.query),
+        Frontend::Parse(parse) => is_name(&parse.name) && is_text(&parse.query),
+        Frontend::Bind(bind) => is_name(&bind.portal_name) && is_name(&bind.statement_name),
+        Frontend::Describe(describe) => is_name(&describe.name),
+        Frontend::Execute(execute) => is_name(&execute.name),
+        Frontend::Close(close) => is_name(&close.name),
+        _ => true,
+    };
+    put(is_text, output, |output| message.encode(output))
+}
+
+/// Returns whether `text` can be a field of a message.
+fn is_text(text: &str) -> bool {
+    !text.as_bytes().contains(&0)
+}
+
+fn put(
+    is_text: bool,
+    output: &mut BytesMut,
+    encode: impl FnOnce(&mut BytesMut) -> PgWireResult<()>,
+) -> Result<()> {
+    require(is_text, "a text has a zero byte")?;
+    let start = output.len();
+    encode(output).map_err(|error| {
+        output.truncate(start);
+        error.into()
+    })
 }
 
 /// Removes the next complete frontend message, sent after the startup, from `input`.
