Refuse control characters in configured names

A name in the document or the settings could have line ends and zero bytes. Names stand in startup messages to endpoints, in the lines that the command line tool prints and in its list of problems, where such a name forged fields and lines. The name of a database could be '.' or '..', which no path to its object can hold.

The check required names to be present and unique, and no more. It now requires, for the federation, failure domains, clubs, services and databases, that a name has no control character, and prints a name that has one in quotes. Settings are checked in the same way. Blanks, punctuation, words of SQL and long names remain valid.

--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -187,13 +187,20 @@
     fn check_unique_names<'a>(&mut self, path: &str, names: impl Iterator<Item = &'a str>) {
         let mut seen = BTreeSet::new();
         for name in names {
-            self.require(!name.is_empty(), path, "name is empty");
+            self.check_name(path, name);
             self.require(seen.insert(name), path, format!("name {name} is used twice"));
         }
     }
 
+    /// Requires that `name` can be a field of a message and stays on one line.
+    fn check_name(&mut self, path: &str, name: &str) {
+        self.require(!name.is_empty(), path, "name is empty");
+        let is_one_field = !name.contains(char::is_control);
+        self.require(is_one_field, path, format!("name {name:?} has a control character"));
+    }
+
     fn check_document(&mut self, document: &Document) {
-        self.require(!document.federation.is_empty(), "federation", "name is empty");
+        self.check_name("federation", &document.federation);
         self.check_unique_names(
             "failure_domains",
             document.failure_domains.iter().map(|d| d.name.as_str()),
@@ -203,8 +210,14 @@
             "services",
             document.services.iter().map(|service| service.name.as_str()),
         );
-        let databases = document.databases().map(|(_, database)| database.name.as_str());
-        self.check_unique_names("databases", databases);
+        let databases: Vec<&str> =
+            document.databases().map(|(_, database)| database.name.as_str()).collect();
+        self.check_unique_names("databases", databases.iter().copied());
+        for name in databases {
+            // The state of a database is an object with its name.
+            let is_segment = !matches!(name, "." | "..");
+            self.require(is_segment, "databases", format!("name {name} cannot stand in a path"));
+        }
         for club in &document.clubs {
             let path = format!("clubs.{}.verifier", club.name);
             let is_verifier = club.verifier.starts_with("SCRAM-SHA-256$");
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -109,9 +109,12 @@
 
     fn check(&self) -> Result<()> {
         let limits = &self.limits;
+        let has_control = |name: &str| name.contains(char::is_control);
         let checks = [
             (self.vm.is_empty(), "vm is empty"),
             (self.failure_domain.is_empty(), "failure_domain is empty"),
+            (has_control(&self.vm), "vm has a control character"),
+            (has_control(&self.failure_domain), "failure_domain has a control character"),
             (self.admin_token.len() < 8, "admin_token is shorter than 8 characters"),
             (limits.max_clients == 0, "limits.callers is zero"),
             (limits.request_bytes < 1024, "limits.request_bytes is below 1024"),
