Quote texts in the lines of an explanation

The explanation of a request shows the fields of log lines as name=value. A text with blanks, '=' or a line end was shown as further fields and lines, so that the name of a prepared statement or a database, written by a client or an operator, could forge an event. The log itself is JSON and not affected.

Texts were written as they stand. A text is now quoted unless it is one plain word that is no JSON value, messages are quoted if they have a control character, and two texts are never shown alike.

--- a/crates/telemetry/src/explain.rs
+++ b/crates/telemetry/src/explain.rs
@@ -1,6 +1,7 @@
 //! Selects from the logs of all processes the lines that explain the outcome of one request.
 
 use std::collections::BTreeSet;
+use std::fmt::{self, Formatter};
 
 use serde_json::{Map, Value};
 
@@ -84,14 +85,29 @@
     Some(hours * 3600.0 + minutes * 60.0 + seconds)
 }
 
-impl std::fmt::Display for Line {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+/// Returns whether `text` is one word that cannot be taken for several fields or another value.
+fn is_plain(text: &str) -> bool {
+    let is_special = |c: char| c.is_whitespace() || c.is_control() || "\"\\=".contains(c);
+    !text.is_empty() && !text.contains(is_special) && serde_json::from_str::<Value>(text).is_err()
+}
+
+fn write_text(formatter: &mut Formatter<'_>, text: &str, is_plain: bool) -> fmt::Result {
+    if is_plain { formatter.write_str(text) } else { write!(formatter, "{text:?}") }
+}
+
+impl fmt::Display for Line {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
         let process = self.process.as_deref().unwrap_or("-");
-        write!(formatter, "{:.3} {process} {}", self.time_of_day, self.message)?;
+        write!(formatter, "{:.3} {process} ", self.time_of_day)?;
+        let is_one_line = !self.message.contains(char::is_control);
+        write_text(formatter, &self.message, is_one_line)?;
         for (name, value) in &self.fields {
+            formatter.write_str(" ")?;
+            write_text(formatter, name, is_plain(name))?;
+            formatter.write_str("=")?;
             match value {
-                Value::String(text) => write!(formatter, " {name}={text}")?,
-                other => write!(formatter, " {name}={other}")?,
+                Value::String(text) => write_text(formatter, text, is_plain(text))?,
+                other => write!(formatter, "{other}")?,
             }
         }
         Ok(())
