Pass the answers of endpoints on as they were received

A client received other texts than the endpoint had sent: in errors, notices and the names of columns, each byte that is not UTF-8 became U+FFFD.

The connection to an endpoint decoded each message of an answer and encoded it again, and the session did so a second time; the library's decoder replaces such bytes. Both now keep the bytes of a message. Messages are still decoded on the connection, so that a malformed answer is refused as before. Rows were not affected, as their decoder keeps the bytes.

--- a/crates/node/src/entry/reply.rs
+++ b/crates/node/src/entry/reply.rs
@@ -58,12 +58,11 @@
     let mut input = BytesMut::from(&messages[..]);
     let mut added_parses = added_parses.iter();
     let mut has_error = false;
-    while let Ok(Some(message)) = message::take_backend(&mut input) {
-        has_error |= matches!(message, Backend::ErrorResponse(_));
-        let is_added =
-            matches!(message, Backend::ParseComplete(_)) && added_parses.next() == Some(&true);
+    while let Ok(Some(message)) = message::take_encoded_backend(&mut input) {
+        has_error |= message::is_error(&message);
+        let is_added = message::is_parse_complete(&message) && added_parses.next() == Some(&true);
         if !is_added {
-            put(&message, output);
+            output.extend_from_slice(&message);
         }
     }
     has_error
--- a/crates/postgres/src/endpoint.rs
+++ b/crates/postgres/src/endpoint.rs
@@ -161,8 +161,12 @@
     }
 
     async fn next(&mut self) -> Result<Backend> {
+        message::decode_backend(self.next_encoded().await?)
+    }
+
+    async fn next_encoded(&mut self) -> Result<BytesMut> {
         loop {
-            if let Some(message) = message::take_backend(&mut self.reader.input)? {
+            if let Some(message) = message::take_encoded_backend(&mut self.reader.input)? {
                 return Ok(message);
             }
             if self.reader.fill().await? == 0 {
@@ -190,12 +194,12 @@
         let mut messages = BytesMut::new();
         let mut has_read_only_error = false;
         loop {
-            let message = self.next().await?;
-            message::put_backend(&message, &mut messages)?;
+            let encoded = self.next_encoded().await?;
+            messages.extend_from_slice(&encoded);
             if messages.len() > max_answer_bytes {
                 return Ok(None);
             }
-            match message {
+            match message::decode_backend(encoded)? {
                 Backend::ErrorResponse(error) => {
                     has_read_only_error |= message::sqlstate(&error) == READ_ONLY_TRANSACTION;
                 }
--- a/crates/postgres/src/message.rs
+++ b/crates/postgres/src/message.rs
@@ -20,9 +20,11 @@
 pub use pgwire::messages::data::{
     DataRow, FieldDescription, NoData, ParameterDescription, RowDescription,
 };
+use pgwire::messages::extendedquery::MESSAGE_TYPE_BYTE_PARSE_COMPLETE;
 pub use pgwire::messages::extendedquery::{
     Bind, BindComplete, Close, CloseComplete, Describe, Execute, Parse, ParseComplete, Sync,
 };
+use pgwire::messages::response::MESSAGE_TYPE_BYTE_ERROR_RESPONSE;
 pub use pgwire::messages::response::{
     CommandComplete, EmptyQueryResponse, ErrorResponse, ReadyForQuery, SslResponse,
     TransactionStatus,
@@ -167,9 +169,38 @@
 ///
 /// Fails when the message is malformed.
 pub fn take_backend(input: &mut BytesMut) -> Result<Option<Backend>> {
+    take_encoded_backend(input)?.map(decode_backend).transpose()
+}
+
+/// Removes the next complete backend message, as it was received, from `input`.
+///
+/// Returns `None` while the message is incomplete.
+///
+/// # Errors
+///
+/// Fails when the length of the message is not valid.
+pub fn take_encoded_backend(input: &mut BytesMut) -> Result<Option<BytesMut>> {
+    take_message(input, 1, MAX_BACKEND_BYTES)
+}
+
+/// Decodes a complete backend message. Bytes of its texts that are not UTF-8 are replaced by U+FFFD.
+///
+/// # Errors
+///
+/// Fails when the message is malformed.
+pub fn decode_backend(mut message: BytesMut) -> Result<Backend> {
     let context = DecodeContext::new(ProtocolVersion::PROTOCOL3_0);
-    let Some(mut message) = take_message(input, 1, MAX_BACKEND_BYTES)? else { return Ok(None) };
-    decode(|| Backend::decode(&mut message, &context)).map(Some)
+    decode(|| Backend::decode(&mut message, &context))
+}
+
+/// Returns whether an encoded backend message is an error.
+pub fn is_error(message: &[u8]) -> bool {
+    message.first() == Some(&MESSAGE_TYPE_BYTE_ERROR_RESPONSE)
+}
+
+/// Returns whether an encoded backend message tells that a statement was parsed.
+pub fn is_parse_complete(message: &[u8]) -> bool {
+    message.first() == Some(&MESSAGE_TYPE_BYTE_PARSE_COMPLETE)
 }
 
 /// Removes one message, whose length follows a header of `header_bytes`, from `input`.
