Refuse a login with another character set than UTF-8

A client that logged in with client_encoding LATIN1, as a parameter of the startup message or in its options, was accepted, and its texts were read as UTF-8. SET client_encoding to another character set was refused already.

The login read two parameters of its own and no other. It now refuses another character set with T1006 (SQLSTATE 22023) before the password is asked for. Names are compared as PostgreSQL does, by their letters and digits, so that 'utf-8' in quotes, as some drivers send it, remains valid.

--- a/crates/node/src/entry/login.rs
+++ b/crates/node/src/entry/login.rs
@@ -72,6 +72,9 @@
     let club = startup.parameters.get("user").cloned().unwrap_or_default();
     let database = startup.parameters.get("database").cloned().unwrap_or_else(|| club.clone());
     let parameters = session_parameters(&startup);
+    if parameters.iter().any(|(name, value)| is_character_set(name) && !is_utf8(value)) {
+        return Err(Code::BadParameter);
+    }
     authenticate(reader, writer, &config, &club).await?;
     let database_config = config.document.database(&database);
     let (service, _) = database_config.ok_or(Code::NoSuchDatabase)?;
@@ -179,6 +182,18 @@
     parameters
 }
 
+/// Returns whether `name` is that of the parameter with the client's character set. Options may have
+/// hyphens for underscores.
+fn is_character_set(name: &str) -> bool {
+    name.replace('-', "_").eq_ignore_ascii_case("client_encoding")
+}
+
+/// Returns whether `value` names UTF-8. As in PostgreSQL, only letters and digits count.
+pub(super) fn is_utf8(value: &str) -> bool {
+    let name: String = value.chars().filter(char::is_ascii_alphanumeric).collect();
+    ["utf8", "unicode"].contains(&name.to_ascii_lowercase().as_str())
+}
+
 /// Announces the session to the hub and tells the client that it is ready.
 async fn start_session(
     writer: &mut Writer,
--- a/crates/node/src/entry/session.rs
+++ b/crates/node/src/entry/session.rs
@@ -20,7 +20,7 @@
 use tamarackbend_wire::{self as wire, Answer, Statement};
 
 use super::batch::PreparedStatements;
-use super::login::{Client, Login, MAX_AGE_PARAMETER, TOKEN_PARAMETER, login};
+use super::login::{Client, Login, MAX_AGE_PARAMETER, TOKEN_PARAMETER, is_utf8, login};
 use super::{Context, reply};
 use crate::hub::Message;
 
@@ -399,7 +399,7 @@
 /// Returns whether the node itself handles a parameter, so that endpoints need not know it.
 fn is_session_parameter(name: &str, value: &str) -> bool {
     match name {
-        "client_encoding" => ["UTF8", "UTF-8", "UNICODE"].contains(&value.to_uppercase().as_str()),
+        "client_encoding" => is_utf8(value),
         "application_name" | "extra_float_digits" => true,
         name => name.starts_with("tamarackbend."),
     }
