Handle signals by a byte on a socket

What callers saw: a node aborted when a signal arrived on a thread that was being spawned ("current thread handle already set during thread spawn, aborting"), and all its connections ended.

Cause: the handler of compio-signal wakes the task that waits for the signal. The waker of a task looks up the current thread, which the standard library has not set up yet on a new thread, and the library aborts then. Threads are created with all signals blocked, so one that arrives meanwhile is often taken by the new thread. Both daemons use net::signal::Signal, so SIGTERM and SIGINT were affected too.

Ruled out: a listener that waits in the root future of the runtime.

A full socket drops the byte, as the reader is due to wake anyway. Signal reads the other end through the runtime. The handler is installed with SA_RESTART and is never removed; a signal whose Signal is dropped is ignored, where it had its default action before. No new thread; two descriptors for each signal.

Why it works: the handler looks a signal up in a table that does not change after the start, and sends; it touches no thread-local state of the standard library, on whatever thread it runs.

The comments of two tests told what the former library does; they say did.

--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -172,8 +172,8 @@
     });
 }
 
-/// Guards against a second SIGTERM that ends the process at once: the library restores the default action
-/// of a signal when its listener is dropped, which happened with the first one.
+/// Guards against a second SIGTERM that ends the process at once: the library restored the default action
+/// of a signal when its listener was dropped, which happened with the first one.
 #[test]
 fn second_sigterm_does_not_cut_a_transaction() {
     let platform = Platform::start(([127, 0, 0, 1], 0).into()).expect("the platform starts");
--- a/crates/net/src/signal.rs
+++ b/crates/net/src/signal.rs
@@ -1,21 +1,28 @@
 //! Signals that the process handles.
 //!
-//! The signal library restores the default action of a signal, which may end the process, when its last
-//! listener is dropped, and a listener ends with the first signal that it receives. [`Signal`] therefore
-//! keeps a listener that is never polled to its end.
+//! A handler may interrupt any thread at any point, including one that the standard library has not set up
+//! yet. It therefore does nothing but write a byte to a socket, which a task reads.
 
-use std::pin::Pin;
-use std::task::{Context, Poll, Waker};
+use std::future::poll_fn;
+use std::io::{ErrorKind, Read};
+use std::os::unix::net::UnixStream;
+
+use compio::runtime::fd::PollFd;
+use signal_hook::SigId;
+use signal_hook::low_level::{pipe, unregister};
 
 use crate::Result;
 
-type Listener = Pin<Box<dyn Future<Output = Result<()>>>>;
+/// Number of signals that one read takes.
+const READ_BYTES: usize = 1024;
 
-/// Signal that is handled, in place of its default action, for as long as this lives.
+/// Signal that is handled in place of its default action.
+///
+/// The default action does not return when this is dropped; the signal is ignored from then on.
 pub struct Signal {
-    number: i32,
-    next: Listener,
-    _keeper: Listener,
+    action: SigId,
+    /// Holds a byte for each signal that arrived since the last read, as far as there is room.
+    socket: PollFd<UnixStream>,
 }
 
 impl Signal {
@@ -23,30 +30,31 @@
     ///
     /// # Errors
     ///
-    /// Fails when the system refuses a handler for the signal.
+    /// Fails when the system refuses the sockets or a handler for the signal.
     pub fn new(number: i32) -> Result<Signal> {
-        Ok(Signal { number, next: listen(number)?, _keeper: listen(number)? })
+        let (reader, writer) = UnixStream::pair()?;
+        reader.set_nonblocking(true)?;
+        let socket = PollFd::new(reader)?;
+        Ok(Signal { action: pipe::register(number, writer)?, socket })
     }
 
     /// Waits for the signal. Signals that arrived since the last call count as one; none of them is missed.
     ///
     /// # Errors
     ///
-    /// Fails when the system refuses a handler for the signal.
+    /// Returns the error of the socket.
     pub async fn receive(&mut self) -> Result<()> {
-        self.next.as_mut().await?;
-        self.next = listen(self.number)?;
-        Ok(())
+        let mut bytes = [0; READ_BYTES];
+        let mut read = |mut socket: &UnixStream| socket.read(&mut bytes);
+        match poll_fn(|context| self.socket.poll_read_with(context, &mut read)).await? {
+            0 => Err(ErrorKind::UnexpectedEof.into()),
+            _ => Ok(()),
+        }
     }
 }
 
-/// Returns a listener that is registered already.
-fn listen(number: i32) -> Result<Listener> {
-    let mut listener: Listener = Box::pin(compio::signal::unix::signal(number));
-    // A listener is registered when it is polled first.
-    match listener.as_mut().poll(&mut Context::from_waker(Waker::noop())) {
-        Poll::Ready(Err(error)) => Err(error),
-        Poll::Ready(Ok(())) => listen(number),
-        Poll::Pending => Ok(listener),
+impl Drop for Signal {
+    fn drop(&mut self) {
+        unregister(self.action);
     }
 }
