Roll back failed transactions at the stand-ins' endpoints

The log of node-2 has endpoint-b demoted at 05.527 and the commit answered to the client as rolled back at 05.543. The client had set the value within the transaction, so the value and the commit followed each other to the endpoint, which refused the value with READONLY and the state E.

Cause: the endpoint reported a failed transaction, but did not keep that it had failed, so that it completed the empty commit behind the refused value.

Ruled out: a client that was told of a commit, as it was told ABORTED; values of another session, as the connection had none.

A failed transaction is now kept as failed: COMMIT and ROLLBACK end it without effect, and other statements are refused.

--- a/crates/replica/src/endpoint.rs
+++ b/crates/replica/src/endpoint.rs
@@ -60,6 +60,8 @@
 #[derive(Clone, Debug)]
 struct Transaction {
     read_only: bool,
+    /// Whether a statement failed, so that the transaction can only be rolled back.
+    is_failed: bool,
     term: Term,
     writes: Vec<String>,
 }
@@ -218,6 +220,9 @@
         statement: &Statement,
         now: Duration,
     ) -> (Answer, Effect) {
+        if connection.transaction.as_ref().is_some_and(|transaction| transaction.is_failed) {
+            return (self.execute_in_failed_transaction(connection, statement), Effect::Nothing);
+        }
         let is_primary = self.role == Role::Primary;
         let Some(statement) = &connection.resolve(statement) else {
             return (self.error(connection, Fault::NoStatement), Effect::Nothing);
@@ -239,6 +244,7 @@
                 }
                 connection.transaction = Some(Transaction {
                     read_only: *read_only,
+                    is_failed: false,
                     term: self.term,
                     writes: Vec::new(),
                 });
@@ -288,6 +294,25 @@
         }
     }
 
+    /// Ends a failed transaction, which rolls it back, and refuses all other statements.
+    fn execute_in_failed_transaction(
+        &self,
+        connection: &mut Connection,
+        statement: &Statement,
+    ) -> Answer {
+        match statement {
+            Statement::Rollback => {
+                connection.transaction = None;
+                self.completion(connection)
+            }
+            Statement::Commit => {
+                connection.transaction = None;
+                self.error(connection, Fault::Aborted)
+            }
+            _ => self.error(connection, Fault::Malformed),
+        }
+    }
+
     /// Returns the data of an item according to the applied entries.
     fn read_item(&self, item: &str) -> &str {
         let writes = self.log[..self.applied_count].iter().rev().flat_map(|entry| &entry.writes);
@@ -314,17 +339,17 @@
         self.answer(connection, Outcome::Complete(Some("proof".to_owned())))
     }
 
-    /// Returns the answer to a command that is not run.
-    pub fn error(&self, connection: &Connection, fault: Fault) -> Answer {
-        let mut answer = self.answer(connection, Outcome::Error { fault, text: String::new() });
-        if connection.transaction.is_some() {
-            answer.state = TransactionState::Failed;
+    /// Returns the answer to a command that is not run, and fails the open transaction.
+    pub fn error(&self, connection: &mut Connection, fault: Fault) -> Answer {
+        if let Some(transaction) = &mut connection.transaction {
+            transaction.is_failed = true;
         }
-        answer
+        self.answer(connection, Outcome::Error { fault, text: String::new() })
     }
 
     fn answer(&self, connection: &Connection, outcome: Outcome) -> Answer {
-        let state = match connection.transaction {
+        let state = match &connection.transaction {
+            Some(transaction) if transaction.is_failed => TransactionState::Failed,
             Some(_) => TransactionState::Transaction,
             None => TransactionState::Idle,
         };
