Review: a write is acknowledged at an old primary

The pause of a replica ends with the promote, before the replica learns of the new term. A status from that time counts as evidence for the old primary.

--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -96,6 +96,7 @@
                 events = [dict(event, object=localize(event["object"]))
                           for at, of, event in self.history if at > revision and of == kind]
                 if events or now() >= end:
+                    await asyncio.sleep(self.DELAY_S)
                     return 200, {"events": events, "currentRev": self.revision}
                 try:
                     await asyncio.wait_for(self.changed.wait(), max(end - now(), 0.001))
@@ -168,8 +169,8 @@
         self.term, self.held, self.up, self.state = 3, 0, True, "ready"
         self.log = [(3, 1200, None)]  # term, number, id of the commit
         self.applied, self.apply_at = 1, []
-        self.reached_since = None
-        self.slots = asyncio.Semaphore(5)
+        self.reached_since, self.leads_since = None, 0.0
+        self.slots = asyncio.Semaphore(world.slots)
         self.busy, self.queued, self.connections = 0, 0, set()
         self.born = int(time.time() * 1000)
         self.seq = 0
@@ -225,32 +226,50 @@
 
     async def serve(self, machine, reader, writer):
         cut = self.world.cuts
-        session = {"tx": None, "values": {}, "prepared": {}}
         line = (await reader.readuntil(b"\r\n"))[:-2].decode()
         while (machine, self.name) in cut:
             await asyncio.sleep(0.05)
+        delay = self.world.delay_s(self.world.machines[machine]["zone"], self.zone)
+        await asyncio.sleep(2 * delay)
         words = line.split(" ")
         if words[1] != self.world.service or (len(words) > 3 and words[3] != self.name):
             writer.write(b"ERROR MISROUTED -\r\n")
             return
         await asyncio.sleep(0.012)
+        answers = asyncio.Queue()
+        writing = asyncio.create_task(self.write_late(machine, answers, writer, delay))
+        try:
+            await self.answer(machine, reader, writer, answers, delay)
+        finally:
+            writing.cancel()
+
+    async def write_late(self, machine, answers, writer, delay):
+        """Writes answers one way to the machine later, in order."""
+        while True:
+            due_at, text = await answers.get()
+            await asyncio.sleep(max(0.0, due_at + delay - now()))
+            # Bytes of a cut link are held up, in both directions.
+            while (machine, self.name) in self.world.cuts:
+                await asyncio.sleep(0.05)
+            writer.write(text)
+
+    async def answer(self, machine, reader, writer, answers, delay):
+        session = {"tx": None, "values": {}, "prepared": {}}
         writer.write(f"READY I {self.position(self.applied)}\r\n".encode())
         while True:
             line = (await reader.readuntil(b"\r\n"))[:-2].decode()
-            # Bytes of a cut link are held up, in both directions.
-            while (machine, self.name) in cut:
+            received_at = now()
+            while (machine, self.name) in self.world.cuts:
                 await asyncio.sleep(0.05)
+            await asyncio.sleep(max(0.0, received_at + delay - now()))
             if line == "BYE":
                 return
             _, request, text = line.split(" ", 2)
             answer = await self.run(machine, session, request, text)
-            while (machine, self.name) in cut:
-                await asyncio.sleep(0.05)
             tx = session["tx"]
             state = "I" if tx is None else "E" if tx["failed"] else "T"
             answer.append(f"READY {state} {self.position(self.applied)}")
-            writer.write("".join(part + "\r\n" for part in answer).encode())
-            await writer.drain()
+            answers.put_nowait((now(), "".join(part + "\r\n" for part in answer).encode()))
 
     async def run(self, machine, session, request, text):
         def error(code):
@@ -277,11 +296,14 @@
             session["tx"] = {"read": bool(rest), "failed": False, "writes": [], "term": self.term}
             return ["COMPLETE -"]
         if verb == "STATUS":
+            async with self.slots:
+                await asyncio.sleep(0.001)
             return ["ROW " + self.status(), "COMPLETE -"]
         if verb in ("PAUSE", "RESUME", "DEMOTE"):
             self.world.record("order", machine, self.name, text)
             if verb == "PAUSE" and int(rest) > self.term and self.role == "replica":
                 self.held = max(self.held, int(rest))
+                self.world.paused.set()
             if verb == "RESUME":
                 self.held = 0
             if verb == "DEMOTE" and self.role == "primary" and int(rest) > self.term:
@@ -315,7 +337,9 @@
         async with self.slots:
             self.queued -= 1
             self.busy += 1
-            await asyncio.sleep(0.004)
+            is_read = verb == "READ" or (verb == "EXEC" and not is_write)
+            work_s = self.world.read_work_s if is_read else self.world.work_s
+            await asyncio.sleep(random.uniform(0.5, 1.5) * work_s)
             self.busy -= 1
         if not self.up:
             raise ConnectionError
@@ -337,8 +361,11 @@
         session["tx"] = None
         self.log.append((self.term, self.log[-1][1] + 1, request))
         self.applied = len(self.log)
+        newer = [b.name for b in self.world.backends if b.role == "primary" and b.term > self.term]
         self.world.record("commit", request, "at", self.name, self.position(self.applied),
-                          "sent by", machine)
+                          "sent by", machine, *(["while", newer[0], "leads"] if newer else []))
+        if newer:
+            self.world.late_commits[request] = (self.name, newer[0], machine, now())
         return [receipt]
 
     def follow(self, primary):
@@ -374,11 +401,14 @@
         self.backends = []
         self.machines = {}
         self.requests = {}
+        self.slots, self.work_s, self.read_work_s = 5, 0.004, 0.004
+        self.late_commits = {}  # commits at a backend while another led a later term
         self.acknowledged = []
         self.lost_by_promotion = set()
         self.findings = []
         self.tokens = []
         self.pending_promotion = None
+        self.paused = asyncio.Event()
         self.tasks = []
 
     async def start(self):
@@ -416,6 +446,10 @@
                 if backend.up:
                     self.check_in(backend)
 
+    def delay_s(self, a, b):
+        """Delay between two zones, one way; every zone is a region of its own."""
+        return 0.0001 if a == b else 0.008
+
     def reaches(self, a, b):
         return (a.name, b.name) not in self.cuts and (b.name, a.name) not in self.cuts
 
@@ -425,8 +459,10 @@
             for backend in self.backends:
                 if not backend.up:
                     continue
+                # A backend hears of a new primary as it hears of commits, `lag_s` behind.
                 leads = [other for other in self.backends if other is not backend and other.up
-                         and other.role == "primary" and self.reaches(backend, other)]
+                         and other.role == "primary" and self.reaches(backend, other)
+                         and now() >= other.leads_since + self.lag_s]
                 if not leads:
                     backend.reached_since = None
                     continue
@@ -473,9 +509,14 @@
         for backend in self.backends:
             self.lost_by_promotion |= {e[2] for e in backend.log if e[2] not in kept}
         target.term = max(b.term for b in self.backends) + 1
-        target.role, target.held, target.applied = "primary", 0, len(target.log)
+        target.role, target.applied, target.leads_since = "primary", len(target.log), now()
+        # A promote ends the pause of a replica.
+        for backend in self.backends:
+            backend.held = 0
         self.record.say("promoted", target.name, "term", target.term, "log ends at",
                         target.position(len(target.log)))
+        # The change is reported at once: one way to the store, and the time of a call.
+        await asyncio.sleep(0.008 + Store.DELAY_S)
         self.check_in(target)
 
     # What requesters and backends see -------------------------------------------------------------
@@ -485,6 +526,8 @@
 
     def on_commit_acknowledged(self, request):
         self.acknowledged.append((request, now()))
+        if request in self.late_commits:
+            self.findings.append(("ONE", request) + self.late_commits[request])
 
     def on_read(self, backend, request, machine):
         sent = self.requests.get(request)
@@ -679,7 +722,7 @@
             line = (await asyncio.wait_for(self.reader.readuntil(b"\r\n"), limit_s))[:-2].decode()
             if line.startswith("READY"):
                 self.world.record("answered", request, outcome)
-                if text.startswith("WRITE") and outcome.startswith("COMPLETE"):
+                if text.startswith(("WRITE", "COMMIT")) and outcome.startswith("COMPLETE"):
                     self.world.on_commit_acknowledged(request)
                 return outcome
             if not line.startswith("ROW"):
