--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -169,7 +169,7 @@
         self.term, self.held, self.up, self.state = 3, 0, True, "ready"
         self.log = [(3, 1200, None)]  # term, number, id of the commit
         self.applied, self.apply_at = 1, []
-        self.reached_since, self.leads_since = None, 0.0
+        self.reached_since, self.leads_since, self.lag_s = None, 0.0, world.lag_s
         self.slots = asyncio.Semaphore(world.slots)
         self.busy, self.queued, self.connections = 0, 0, set()
         self.born = int(time.time() * 1000)
@@ -459,10 +459,10 @@
             for backend in self.backends:
                 if not backend.up:
                     continue
-                # A backend hears of a new primary as it hears of commits, `lag_s` behind.
+                # A backend hears of a new primary as it hears of commits, about `lag_s` behind.
                 leads = [other for other in self.backends if other is not backend and other.up
                          and other.role == "primary" and self.reaches(backend, other)
-                         and now() >= other.leads_since + self.lag_s]
+                         and now() >= other.leads_since + backend.lag_s]
                 if not leads:
                     backend.reached_since = None
                     continue
@@ -564,7 +564,11 @@
         async def handle_store(method, target, headers, body):
             while (name, "store") in self.cuts:
                 await asyncio.sleep(0.05)
+            # The store stands in the last zone.
+            delay = self.delay_s(zone, self.zones[-1])
+            await asyncio.sleep(delay)
             answer = await self.store.call(method, target, body, localize)
+            await asyncio.sleep(delay)
             if method != "GET":
                 self.record("store", name, method, target, json.dumps(body), "->", answer[0])
             return answer
