--- a/review/8/case.py
+++ b/review/8/case.py
@@ -10,10 +10,10 @@
 
 from world import Session, now, run_case  # noqa: E402
 
-MACHINES = (11, 11, 2)
+MACHINES = (6, 6, 2)
 ROUNDS = 10
 CUT_S = 4.0
-PAUSE_S = 4.0
+PAUSE_S = 3.5
 
 
 async def keep_working(world, machine, transactions, until):
@@ -57,7 +57,8 @@
 
 
 async def play(world, trouble):
-    world.slots, world.work_s, world.read_work_s = 2, 0.009, 0.009
+    # Two slots a backend, as on the sheet, and reads that keep most of them busy.
+    world.slots, world.work_s, world.read_work_s = 2, 0.010, 0.010
     await world.start()
     names = {}
     for index, (zone, count) in enumerate(zip(world.zones, MACHINES)):
@@ -72,11 +73,13 @@
         return 2
     end = [now() + 1e9]
     tasks = [asyncio.create_task(keep_working(world, name, number % 3 > 0, lambda: end[0]))
-             for zone in world.zones for name in names[zone] for number in range(5)]
-    tasks += [asyncio.create_task(keep_reading(world, name, 12, lambda: end[0]))
-              for zone in world.zones for name in names[zone] for _ in range(1)]
+             for zone in world.zones for name in names[zone] for number in range(6)]
+    tasks += [asyncio.create_task(keep_reading(world, name, 11, lambda: end[0]))
+              for zone in world.zones for name in names[zone] for _ in range(3)]
     await asyncio.sleep(4)
     for _ in range(ROUNDS):
+        while not any(backend.role == "primary" for backend in world.backends):
+            await asyncio.sleep(0.05)
         primary = max((b for b in world.backends if b.role == "primary"), key=lambda b: b.term)
         if trouble:
             for name in names[world.zones[2]]:
@@ -87,14 +90,13 @@
         await asyncio.sleep(PAUSE_S)
     end[0] = now()
     await asyncio.wait(tasks, timeout=8)
-    late = [finding for finding in world.findings if finding[0] == "ONE" and len(finding) == 6]
+    # Commits that a machine on a cut link sent are not counted.
+    late = [finding for finding in world.findings if finding[0] == "ONE" and len(finding) == 6
+            and finding[4] not in names[world.zones[2]]]
     for _, request, backend, newer, machine, at in late[:30]:
         world.record.say(f"ONE {at - world.record.start:.3f} s: {request}, sent by {machine}, was committed at "
                          f"{backend} while {newer} led a later term, and acknowledged")
     world.record.say("commits at an old primary that were acknowledged:", len(late))
-    others = [finding for finding in world.findings if finding not in late]
-    if others:
-        world.record.say("other findings:", others[:5])
     if not world.acknowledged:
         return 2
     return 1 if late else 0
