--- a/crates/replica/src/endpoint.rs
+++ b/crates/replica/src/endpoint.rs
@@ -78,6 +78,8 @@
     /// Fenced term: the endpoint does not replicate from primaries of lower terms. Zero if
     /// replication is not fenced.
     pub fenced_term: Term,
+    /// When the endpoint became the primary of its term; zero if it has never been promoted.
+    pub promoted_at: Duration,
     /// Received entries.
     pub log: Vec<Entry>,
     /// Number of log entries that are applied, which makes them visible to reads.
@@ -124,6 +126,7 @@
             role,
             term: 1,
             fenced_term: 0,
+            promoted_at: Duration::ZERO,
             log: vec![first],
             applied_count: 1,
             is_up: true,
@@ -143,7 +146,8 @@
     }
 
     /// Makes this endpoint the primary of `term` and applies all entries that it has received.
-    pub fn promote(&mut self, term: Term) {
+    pub fn promote(&mut self, term: Term, now: Duration) {
+        self.promoted_at = now;
         self.role = Role::Primary;
         self.term = term;
         self.fenced_term = 0;
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -8,6 +8,8 @@
 
 mod checker;
 mod endpoint;
+mod replication;
 
 pub use checker::{Checker, Freshness, guarantees_no_effect};
 pub use endpoint::{Connection, Effect, Endpoint, Entry, Prepared, Values};
+pub use replication::{promote, replication_source};
--- a/crates/router/src/endpoint.rs
+++ b/crates/router/src/endpoint.rs
@@ -27,6 +27,9 @@
     pub status: Option<(Time, Status)>,
     /// Since when the endpoint has reported a fenced term above its own, which has no primary yet.
     pub fenced_since: Option<Time>,
+    /// When the newest command was requested whose answer showed that the endpoint was not the primary
+    /// of the group's newest term.
+    pub not_primary_at: Option<Time>,
     /// Applied log, and refusals of reads that need more of it.
     pub freshness: Freshness,
     /// Since when the endpoint has been suspected of having failed.
@@ -67,6 +70,7 @@
             connections: Vec::new(),
             status: None,
             fenced_since: None,
+            not_primary_at: None,
             freshness: Freshness::default(),
             suspected_since: None,
             failed_attempts: 0,
@@ -91,6 +95,12 @@
         self.failed_attempts = 0;
     }
 
+    /// Records that an answer to a command of `requested_at` showed that the endpoint was not the
+    /// primary.
+    pub fn record_not_primary(&mut self, requested_at: Time) {
+        self.not_primary_at = self.not_primary_at.max(Some(requested_at));
+    }
+
     /// Records that an attempt to reach the endpoint failed at `now`.
     pub fn record_failure(&mut self, now: Time) {
         // Several connections lost at the same time count as one failure.
--- a/crates/router/src/failover.rs
+++ b/crates/router/src/failover.rs
@@ -50,7 +50,7 @@
 /// Longest wait for the promoted endpoint to become primary.
 const SETTLE_TIMEOUT: Duration = Duration::from_millis(4000);
 /// Endpoints that a group is expected to have: an endpoint that is not listed may come back.
-const EXPECTED_GROUP_SIZE: usize = 3;
+pub(crate) const EXPECTED_GROUP_SIZE: usize = 3;
 /// Time limit of a failover up to the promotion; allows for several rounds of votes and orders.
 const FAILOVER_TIMEOUT: Duration = Duration::from_millis(10_000);
 /// Interval at which a promotion is requested again.
--- a/crates/router/src/group.rs
+++ b/crates/router/src/group.rs
@@ -10,8 +10,8 @@
 use crate::admission::wait::{Estimator, Kind};
 use crate::customer::{CustomerName, KeyDigest};
 use crate::endpoint::Endpoint;
-use crate::evidence::{Evidence, Sample};
-use crate::failover::{Ballot, Failover};
+use crate::evidence::{Candidate, Evidence, FOLLOW_TIMEOUT, Sample};
+use crate::failover::{Ballot, EXPECTED_GROUP_SIZE, Failover};
 use crate::message::{
     Answer, ConnectionId, EndpointId, Position, Role, SessionId, Status, Term, Time,
 };
@@ -137,6 +137,8 @@
     Fenced,
     /// The primary's term was not fenced when the status was requested.
     TermOpen,
+    /// The primary's term was not fenced, but the status may be from after a promotion.
+    Ambiguous,
     /// The endpoint still acts as primary of a term that has ended.
     Deposed,
 }
@@ -149,6 +151,7 @@
             StatusEffect::Primary => "Lead",
             StatusEffect::Fenced => "Closed",
             StatusEffect::TermOpen => "Witnessed",
+            StatusEffect::Ambiguous => "Ambiguous",
             StatusEffect::Deposed => "Deposed",
         })
     }
@@ -177,13 +180,24 @@
             self.clear_primary(now);
         }
         match status.role {
-            Role::Primary if status.term < self.term => StatusEffect::Deposed,
+            Role::Primary if status.term < self.term => {
+                if let Some(endpoint) = self.endpoints.get_mut(id) {
+                    endpoint.record_not_primary(requested_at);
+                }
+                StatusEffect::Deposed
+            }
             Role::Primary if was_primary && self.primary.is_some() => StatusEffect::Nothing,
             Role::Primary => {
                 self.primary = Some(Primary { endpoint: id.clone(), term: status.term });
                 self.without_primary_since = None;
                 self.fenced_since = None;
                 self.evidence.invalidate();
+                // The endpoint was promoted after it last answered as a replica. The next promotion
+                // first fences the new term and waits.
+                if let Some(not_primary_at) = self.endpoints.get(id).and_then(|e| e.not_primary_at)
+                {
+                    self.evidence.confirm(not_primary_at);
+                }
                 self.replication.reset();
                 self.unproven_sample = None;
                 StatusEffect::Primary
@@ -192,19 +206,121 @@
                 if was_primary {
                     self.clear_primary(now);
                 }
+                if let Some(endpoint) = self.endpoints.get_mut(id) {
+                    endpoint.record_not_primary(requested_at);
+                }
                 let Some(primary) = &self.primary else { return StatusEffect::Fenced };
                 if status.fenced_term > primary.term {
                     // Earlier evidence stays valid: a promotion waits until it has expired.
                     self.fenced_since.get_or_insert(now);
+                    self.evidence.drop_candidate();
                     return StatusEffect::Fenced;
                 }
-                self.fenced_since = None;
-                self.evidence.confirm(requested_at);
-                StatusEffect::TermOpen
+                let follows_primary = status.term == primary.term;
+                match self.record_open_term(id, requested_at, now, follows_primary) {
+                    true => StatusEffect::TermOpen,
+                    false => StatusEffect::Ambiguous,
+                }
             }
         }
     }
 
+    /// Records a status that shows the primary's term as open; returns whether it is evidence.
+    fn record_open_term(
+        &mut self,
+        id: &EndpointId,
+        requested_at: Time,
+        now: Time,
+        follows_primary: bool,
+    ) -> bool {
+        if self.evidence.covers(now) {
+            self.evidence.confirm(requested_at);
+            self.fenced_since = None;
+            return true;
+        }
+        let has_followed = follows_primary
+            && self.evidence.candidate(now).is_some_and(|candidate| {
+                candidate.endpoint == *id
+                    && requested_at >= candidate.received_at + FOLLOW_TIMEOUT
+                    && self.possibly_promoted(candidate).all(|endpoint| {
+                        endpoint.last_heard_at < candidate.received_at
+                            && !self.is_listed_as_primary(endpoint)
+                    })
+            });
+        if has_followed {
+            self.evidence.confirm(requested_at);
+            self.fenced_since = None;
+            return true;
+        }
+        self.evidence.propose(Candidate { endpoint: id.clone(), requested_at, received_at: now });
+        self.accept_candidate(now)
+    }
+
+    /// Returns whether the directory lists an endpoint as primary that is not known to be the primary of
+    /// an earlier term.
+    fn is_listed_as_primary(&self, endpoint: &Endpoint) -> bool {
+        let term = self.primary.as_ref().map_or(0, |primary| primary.term);
+        endpoint.entry.role == Role::Primary
+            && endpoint.status.is_none_or(|(_, status)| status.term >= term)
+    }
+
+    /// Makes the candidate evidence if no other endpoint may have been promoted before it; returns whether
+    /// there is evidence.
+    pub fn accept_candidate(&mut self, now: Time) -> bool {
+        let Some(candidate) = self.evidence.candidate(now) else {
+            return self.evidence.covers(now);
+        };
+        if self.is_incomplete() || self.possibly_promoted(candidate).next().is_some() {
+            return false;
+        }
+        let requested_at = candidate.requested_at;
+        self.evidence.confirm(requested_at);
+        self.fenced_since = None;
+        true
+    }
+
+    /// Returns the endpoints that may have been promoted before a candidate was reported: those that
+    /// have not shown since the candidate arrived that they are not the primary.
+    pub fn possibly_promoted<'a>(
+        &'a self,
+        candidate: &'a Candidate,
+    ) -> impl Iterator<Item = &'a Endpoint> {
+        self.other_endpoints().filter(|endpoint| {
+            endpoint.entry.id != candidate.endpoint
+                && endpoint.not_primary_at.is_none_or(|at| at < candidate.received_at)
+        })
+    }
+
+    /// Returns the endpoints that are not the primary.
+    pub fn other_endpoints(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.iter().filter(|(id, _)| !self.is_primary(id)).map(|(_, endpoint)| endpoint)
+    }
+
+    /// Returns whether an endpoint that the group should have is not listed. It may still run and be
+    /// promoted: entries are missing for a while after an outage of the directory.
+    pub fn is_incomplete(&self) -> bool {
+        self.endpoints.len() < self.peak_size.min(EXPECTED_GROUP_SIZE)
+    }
+
+    /// Returns whether everything that was received from the primary by `time` was answered before any
+    /// promotion.
+    pub fn is_covered(&self, time: Time) -> bool {
+        if self.primary.is_none() {
+            return false;
+        }
+        // A group that never had a second endpoint has nothing to promote.
+        !self.is_replicated || self.evidence.covers(time) || self.are_others_not_primary_since(time)
+    }
+
+    /// Returns whether all endpoints except the primary have shown that they are not the primary, in
+    /// answers to commands that were requested at `time` or later.
+    fn are_others_not_primary_since(&self, time: Time) -> bool {
+        let mut others = self.other_endpoints().peekable();
+        others.peek().is_some()
+            && !self.is_incomplete()
+            && others.all(|endpoint| endpoint.not_primary_at.is_some_and(|at| at >= time))
+    }
+
     /// Returns whether sessions, a failover or commands of the router wait for something, so that the
     /// group must be checked often.
     pub fn has_work_in_progress(&self) -> bool {
--- a/crates/router/src/replication.rs
+++ b/crates/router/src/replication.rs
@@ -1,9 +1,9 @@
 //! Progress of replication, and whether commits wait for it.
 //!
 //! A commit is acknowledged once a replica holds it. A failover fences the term at the replicas and
-//! promotes the one that has received the most, so the commit survives the loss of the primary.
-//! Such a commit needs no other evidence: a replica whose term is fenced receives nothing more, so
-//! everything that it holds was committed before any promotion.
+//! promotes the one that has received the most, so the commit survives the loss of the primary. It also
+//! needs evidence that it was made before any promotion: a promotion ends the fence, and a replica may
+//! receive the log of the former primary again until it follows the new one.
 //!
 //! Lagging replicas would delay all writes. Commits then stop waiting for a while, as in
 //! semi-synchronous replication, provided that the term is known not to be fenced.
--- a/crates/router/src/router/answers.rs
+++ b/crates/router/src/router/answers.rs
@@ -266,17 +266,13 @@
 
     /// Returns whether evidence shows that the primary of `service` was the primary at `time`.
     pub(super) fn is_covered(&self, service: &ServiceName, time: Time) -> bool {
-        self.groups.get(service).is_some_and(|group| {
-            // A group that never had a second endpoint has nothing to promote. An endpoint that
-            // is no longer listed may still run: this node may not see the whole directory.
-            group.primary.is_some() && (!group.is_replicated || group.evidence.covers(time))
-        })
+        self.groups.get(service).is_some_and(|group| group.is_covered(time))
     }
 
     /// Returns whether an answer of the primary is confirmed.
     ///
-    /// A commit is confirmed by a replica that holds its position. Without a commit, or while
-    /// commits do not wait for replicas, evidence that covers `required_at` confirms the answer.
+    /// The answer must be from before any promotion, and a replica must hold the commit unless commits
+    /// do not wait for replicas.
     fn is_confirmed(
         &self,
         service: &ServiceName,
@@ -284,11 +280,10 @@
         commit_position: Option<Position>,
     ) -> bool {
         let Some(group) = self.groups.get(service) else { return false };
-        match commit_position {
-            Some(position) if group.replication.has_replicated(position) => true,
-            Some(_) if group.waits_for_replicas(self.now) => false,
-            _ => self.is_covered(service, required_at),
-        }
+        let is_missing = commit_position.is_some_and(|position| {
+            !group.replication.has_replicated(position) && group.waits_for_replicas(self.now)
+        });
+        !is_missing && group.is_covered(required_at)
     }
 
     /// Records that an endpoint holds the log up to `position`.
--- a/crates/router/src/router/probes.rs
+++ b/crates/router/src/router/probes.rs
@@ -1,8 +1,8 @@
 //! Periodic work: failure detection, evidence for the primary, and position samples.
 //!
 //! The router sends two kinds of commands of its own. A status request asks an endpoint for its
-//! role, term and log positions. A probe begins and rolls back a transaction, which shows that the
-//! endpoint is alive and, if the transaction may write, that it is the primary.
+//! role, term and log positions. A probe begins and rolls back a transaction that may write, which
+//! shows that the endpoint is alive, its log position, and whether it is the primary.
 
 use std::collections::BTreeSet;
 
@@ -10,6 +10,7 @@
 
 use super::{Action, Router};
 use crate::connection::Purpose;
+use crate::evidence::FOLLOW_TIMEOUT;
 use crate::experiment::Mechanism;
 use crate::group::{Group, PendingAnswer};
 use crate::message::{
@@ -250,8 +251,13 @@
             || (position_age.is_some_and(|position_age| position_age >= POSITION_INTERVAL)
                 && self.is_covered(service, now));
         let is_due = is_due && now >= group.position_requested_at + min_pause;
+        let is_any_silent =
+            group.is_incomplete() || group.other_endpoints().any(|e| e.suspected_since.is_some());
         if group.pending_answers.iter().any(|pending| self.needs_evidence(pending)) {
             self.request_evidence(service);
+        } else if is_any_silent && !is_idle {
+            // Without an answer of each endpoint, evidence takes long to regain once it has expired.
+            self.request_evidence_if_old(service);
         }
         self.poll_replicas(service);
         let Some(group) = self.groups.get_mut(service) else { return };
@@ -306,13 +312,15 @@
             self.send_probe_if_none(service, &primary);
         }
         let Some(group) = self.groups.get(service) else { return };
+        let commits = group.pending_answers.iter().filter(|p| p.commit_position.is_some());
+        let is_covered = commits.map(|pending| pending.required_at).all(|at| group.is_covered(at));
         let mut replicas: Vec<(Time, EndpointId)> = group
             .endpoints
             .iter()
             .filter(|(id, endpoint)| {
                 !group.is_primary(id)
                     && endpoint.suspected_since.is_none()
-                    && !endpoint.entry.leaving
+                    && (!endpoint.entry.leaving || !is_covered)
             })
             .map(|(id, endpoint)| {
                 (self.expected_read_time(&endpoint.entry.failure_domain), id.clone())
@@ -320,8 +328,9 @@
             .collect();
         replicas.sort();
         // The nearest replica usually holds the commit; after a third of the wait, the others are
-        // asked as well.
-        if now < waiting_since + MAX_REPLICATION_WAIT / 3 {
+        // asked as well, and at once if there is no evidence: their answers show that none of them
+        // had been promoted.
+        if is_covered && now < waiting_since + MAX_REPLICATION_WAIT / 3 {
             replicas.truncate(1);
         }
         for (_, id) in replicas {
@@ -355,7 +364,16 @@
         if is_requested {
             return;
         }
-        let candidate = group
+        if let Some(candidate) = group.evidence.candidate(now) {
+            let id = candidate.endpoint.clone();
+            let is_follow_due = now >= candidate.received_at + FOLLOW_TIMEOUT;
+            self.probe_possibly_promoted(service);
+            if is_follow_due {
+                self.request_status(service, &id);
+            }
+            return;
+        }
+        let nearest = group
             .endpoints
             .iter()
             .filter(|(id, endpoint)| !group.is_primary(id) && endpoint.suspected_since.is_none())
@@ -369,11 +387,24 @@
                 )
             })
             .map(|(id, _)| id.clone());
-        if let Some(id) = candidate {
+        if let Some(id) = nearest {
             self.request_status(service, &id);
         }
     }
 
+    /// Probes the endpoints that may have been promoted before the present candidate.
+    pub(super) fn probe_possibly_promoted(&mut self, service: &ServiceName) {
+        let Some(group) = self.groups.get(service) else { return };
+        let Some(candidate) = group.evidence.candidate(self.now) else { return };
+        let undecided = group
+            .possibly_promoted(candidate)
+            .filter(|endpoint| endpoint.suspected_since.is_none());
+        let ids: Vec<EndpointId> = undecided.map(|endpoint| endpoint.entry.id.clone()).collect();
+        for id in ids {
+            self.send_probe_if_none(service, &id);
+        }
+    }
+
     /// Requests the status of all endpoints of a group.
     pub(super) fn survey(&mut self, service: &ServiceName) {
         let now = self.now;
@@ -402,15 +433,13 @@
         }
     }
 
-    /// Probes an endpoint with an empty transaction, which uses no slot. At the primary, the
-    /// transaction may write and so proves that the endpoint is still the primary.
+    /// Probes an endpoint with an empty transaction, which uses no slot. The transaction may write, so
+    /// only the primary accepts it.
     fn send_probe(&mut self, service: &ServiceName, id: &EndpointId) {
         let now = self.now;
-        let Some(group) = self.groups.get_mut(service) else { return };
-        let read_only = !group.is_primary(id);
-        let Some(endpoint) = group.endpoints.get_mut(id) else { return };
+        let Some(endpoint) = self.endpoint_mut(service, id) else { return };
         endpoint.probe_requested_at = Some(now);
-        let begin = Order::Statement(Statement::Begin { read_only });
+        let begin = Order::Statement(Statement::Begin { read_only: false });
         endpoint.queued_commands.push_back((Command::new(begin), Purpose::Probe));
         self.send_queued_commands(service, id);
     }
--- a/crates/router/src/router/proofs.rs
+++ b/crates/router/src/router/proofs.rs
@@ -47,14 +47,17 @@
                     .is_some_and(|g| g.is_primary(&origin.endpoint));
                 if is_primary {
                     self.handle_fault(origin, &Fault::ReadOnly, None);
+                } else {
+                    self.on_not_primary(origin);
                 }
             }
             Some(fault) => debug!(endpoint = %origin.endpoint, ?fault, "probe failed"),
             None => {
-                if let Some(position) = answer.position
-                    && let Some(group) = self.groups.get_mut(&origin.service)
-                    && group.is_primary(&origin.endpoint)
-                {
+                let Some(group) = self.groups.get_mut(&origin.service) else { return };
+                if !group.is_primary(&origin.endpoint) {
+                    // The endpoint accepts writes: it has been promoted.
+                    self.request_status(&origin.service, &origin.endpoint);
+                } else if let Some(position) = answer.position {
                     let sample = Sample { requested_at: origin.command.sent_at, position };
                     group.unproven_sample = Some((sample, now));
                     self.accept_proven_sample(&origin.service);
@@ -63,6 +66,20 @@
         }
     }
 
+    /// Handles an answer that shows that an endpoint was not the primary.
+    fn on_not_primary(&mut self, origin: &Origin) {
+        let now = self.now;
+        if let Some(endpoint) = self.endpoint_mut(&origin.service, &origin.endpoint) {
+            endpoint.record_not_primary(origin.command.sent_at);
+        }
+        if let Some(group) = self.groups.get_mut(&origin.service) {
+            group.accept_candidate(now);
+        }
+        self.probe_possibly_promoted(&origin.service);
+        self.accept_proven_sample(&origin.service);
+        self.confirm_pending(&origin.service);
+    }
+
     /// Keeps the last position sample of the primary once evidence shows that the endpoint was
     /// still the primary when it reported the position.
     fn accept_proven_sample(&mut self, service: &ServiceName) {
@@ -112,6 +129,7 @@
                 );
                 self.queue_order(&origin.service, &origin.endpoint, Order::Demote(term));
             }
+            StatusEffect::Ambiguous => self.probe_possibly_promoted(&origin.service),
             StatusEffect::Nothing | StatusEffect::TermOpen => {}
         }
         self.return_connections(&origin.service, &origin.endpoint);
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -9,7 +9,8 @@
 use tamarackbend_router::directory::{Change, Entry};
 use tamarackbend_router::membership::Peer;
 use tamarackbend_router::message::{
-    Answer, Command, ConnectionId, Order, Outcome, Position, Role, Status, TransactionState,
+    Answer, Command, ConnectionId, Fault, Order, Outcome, Position, Role, Statement, Status,
+    TransactionState,
 };
 use tamarackbend_router::settings::Settings;
 use tamarackbend_router::{Action, ConnectionLoss, Event, Router};
@@ -130,9 +131,14 @@
             running_statements: 0,
             connections: 1,
         };
+        let is_begin = command.order == Order::Statement(Statement::Begin { read_only: false });
+        let outcome = match is_begin && entry.role == Role::Replica {
+            true => Outcome::Error { fault: Fault::ReadOnly, text: String::new() },
+            false => Outcome::Complete(None),
+        };
         let answer = Answer {
             rows: Vec::new(),
-            outcome: Outcome::Complete(None),
+            outcome,
             state: TransactionState::Idle,
             position: Some(status.received),
             status: (command.order == Order::Status).then_some(status),
--- a/crates/router/tests/histories/clients.rs
+++ b/crates/router/tests/histories/clients.rs
@@ -11,6 +11,9 @@
 
 /// Pause of a client between two statements, in milliseconds.
 const THINK_TIME_MS: std::ops::Range<u64> = 5..60;
+/// Pause of a client within every other long transaction, in milliseconds: such a transaction stays open
+/// while the primary is replaced.
+const TRANSACTION_PAUSE_MS: std::ops::Range<u64> = 100..900;
 
 pub struct Client {
     node: usize,
@@ -23,6 +26,7 @@
     /// begin.
     begin_id: Option<String>,
     count: u64,
+    has_long_transactions: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,9 +51,16 @@
             has_written: false,
             begin_id: None,
             count: 0,
+            has_long_transactions: false,
         }
     }
 
+    /// Makes the client pause within transactions that write.
+    pub fn with_long_transactions(mut self) -> Client {
+        self.has_long_transactions = true;
+        self
+    }
+
     /// Sends the next statement if the pause after the last answer is over.
     pub fn act(&mut self, world: &mut World, random: &mut impl Rng) {
         if self.in_flight.is_some() || world.now < self.next_at || world.is_paused(self.node) {
@@ -87,7 +98,10 @@
         random: &mut impl Rng,
     ) {
         let Some((id, step)) = self.in_flight.take() else { return };
-        self.next_at = world.now + Duration::from_millis(random.random_range(THINK_TIME_MS));
+        let may_pause = self.has_long_transactions && step == Step::Write;
+        let is_long = may_pause && state == TransactionState::Transaction && random.random();
+        let pause = if is_long { TRANSACTION_PAUSE_MS } else { THINK_TIME_MS };
+        self.next_at = world.now + Duration::from_millis(random.random_range(pause));
         match (step, outcome) {
             (Step::Read, Outcome::Complete(_)) => {
                 let reference_id = self.begin_id.as_ref().unwrap_or(&id);
--- a/crates/router/tests/histories/main.rs
+++ b/crates/router/tests/histories/main.rs
@@ -4,6 +4,7 @@
 //! `HISTORIES=n` runs the seeds below n, `HISTORY=seed` runs that seed only.
 
 mod clients;
+mod setup;
 mod world;
 
 use std::collections::BTreeSet;
@@ -68,6 +69,22 @@
         History { world, clients, random, freshness: Freshness { max_staleness: age } }
     }
 
+    /// Makes the clients pause within transactions that write.
+    fn with_long_transactions(mut self) -> History {
+        self.clients = self.clients.into_iter().map(Client::with_long_transactions).collect();
+        self
+    }
+
+    /// Applies the given faults at their times in milliseconds after the start.
+    fn play(&mut self, faults: &[(u64, Fault)], duration: Duration) {
+        for (at, fault) in faults {
+            let time = Duration::from_millis(*at) + START;
+            self.run_for(time.saturating_sub(self.world.now));
+            self.apply(*fault);
+        }
+        self.run_for((START + duration).saturating_sub(self.world.now));
+    }
+
     fn step(&mut self) {
         self.world.step();
         for client in &mut self.clients {
@@ -154,6 +171,9 @@
 /// Runs a history of random faults, all of which end after three quarters of its length.
 fn run_generated(seed: u64, hides_fencing: bool) -> History {
     let mut history = History::new(seed, consistency_of(seed));
+    if !seed.is_multiple_of(2) {
+        history = history.with_long_transactions();
+    }
     history.world.hides_fencing = hides_fencing;
     run_faults(history, seed, |_| None)
 }
@@ -274,12 +294,7 @@
 /// Runs a history with the given faults only, at their times in milliseconds after the start.
 fn run_scripted(consistency: Consistency, faults: &[(u64, Fault)], duration: Duration) -> History {
     let mut history = History::new(7, consistency);
-    for (at, fault) in faults {
-        let time = Duration::from_millis(*at) + START;
-        history.run_for(time.saturating_sub(history.world.now));
-        history.apply(*fault);
-    }
-    history.run_for((START + duration).saturating_sub(history.world.now));
+    history.play(faults, duration);
     history
 }
 
@@ -367,6 +382,26 @@
     }
 }
 
+/// Guards against commits of a former primary that are acknowledged by nodes that still reach it: a
+/// replica reports the old term as open from the promotion until it receives the new primary's log.
+#[test]
+fn primary_cut_from_half_of_the_nodes_acknowledges_nothing_after_a_promotion() {
+    for offset in 24..40 {
+        let mut faults = Vec::new();
+        for round in 0..4 {
+            let at = 2000 + offset * 37 + round * 7500;
+            let primary = if round == 0 { 0 } else { 1 };
+            let cuts = [2, 3].map(|node| (at, Fault::Cut(node, primary)));
+            faults.extend(cuts);
+            faults.push((at + 4000, Fault::Heal));
+        }
+        let mut history = History::new(offset, Consistency::Latest).with_long_transactions();
+        history.play(&faults, Duration::from_secs(32));
+        assert_eq!(history.world.checker.violations, BTreeSet::new(), "cut at {offset}");
+        assert!(history.world.promotions > 0, "nothing was promoted");
+    }
+}
+
 /// Replicas that receive nothing delay a few commits, not all of them.
 #[test]
 fn primary_without_replicas_goes_on_writing() {
--- a/crates/router/tests/histories/world.rs
+++ b/crates/router/tests/histories/world.rs
@@ -8,16 +8,21 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tamarackbend_replica::{Checker, Connection, Endpoint};
-use tamarackbend_router::configuration::{Configuration, Consistency, Route, Service};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tamarackbend_replica::{Checker, Connection, Endpoint, promote, replication_source};
+use tamarackbend_router::configuration::Consistency;
 use tamarackbend_router::directory::{Change, Entry};
 use tamarackbend_router::failover::{PromotionAnswer, Record, RecordName};
 use tamarackbend_router::membership::Peer;
-use tamarackbend_router::message::{Answer, Command, ConnectionId, Request, Role, SessionId};
+use tamarackbend_router::message::{
+    Answer, Command, ConnectionId, Order, Request, Role, SessionId,
+};
 use tamarackbend_router::revision::{Era, Report, Revision, Tracker, Verdict};
-use tamarackbend_router::settings::Settings;
 use tamarackbend_router::{Action, ConnectionLoss, Event, FetchResult, Router, WriteResult};
 
+use crate::setup;
+
 pub const SERVICE: &str = "leases";
 /// Names of the endpoints; the first is the primary at the start.
 pub const ENDPOINTS: [&str; 3] = ["endpoint-a", "endpoint-b", "endpoint-c"];
@@ -25,8 +30,13 @@
 const PROMOTE_DELAY: Duration = Duration::from_millis(300);
 /// Time for which a former primary continues after it has reached its successor.
 const STEP_DOWN_DELAY: Duration = Duration::from_secs(1);
-/// One-way delay between a node and an endpoint, and between a node and the store.
+/// One-way delay between a node and the store.
 const ONE_WAY_DELAY: Duration = Duration::from_millis(4);
+/// One-way delay between a node and the endpoint near to it, and between the node and the others.
+const NEAR_DELAY: Duration = Duration::from_millis(1);
+const FAR_DELAY: Duration = Duration::from_millis(9);
+/// Longest time for which a status waits for a slot of its endpoint.
+const MAX_SLOT_WAIT_MS: u64 = 40;
 /// Interval at which endpoints report to the store.
 const REPORT_INTERVAL: Duration = Duration::from_millis(1200);
 /// Longest time until a node's watch of the store ends, in milliseconds.
@@ -98,6 +108,7 @@
     next_report_at: Option<Duration>,
     pending_promotion: Option<(Duration, usize)>,
     entries: Vec<Entry>,
+    random: ChaCha8Rng,
 }
 
 impl World {
@@ -125,6 +136,7 @@
             next_report_at: None,
             pending_promotion: None,
             entries,
+            random: ChaCha8Rng::seed_from_u64(1),
         }
     }
 
@@ -275,12 +287,10 @@
 
     fn replicate(&mut self) {
         for index in 0..self.endpoints.len() {
-            let this = Party::Endpoint(index);
-            let reachable_primary = (0..self.endpoints.len())
-                .filter(|other| *other != index && self.endpoints[*other].role == Role::Primary)
-                .filter(|other| self.is_linked(this, Party::Endpoint(*other)))
-                .max_by_key(|other| self.endpoints[*other].term);
-            if let Some(primary) = reachable_primary {
+            let source = replication_source(&self.endpoints, index, self.now, |other| {
+                self.is_linked(Party::Endpoint(index), Party::Endpoint(other))
+            });
+            if let Some(primary) = source {
                 let primary = self.endpoints[primary].clone();
                 let follower = &mut self.endpoints[index];
                 let reachable_since = *follower.reaches_primary_since.get_or_insert(self.now);
@@ -300,11 +310,7 @@
             return;
         };
         self.pending_promotion = None;
-        let term = self.endpoints.iter().map(|e| e.term).max().unwrap_or(1) + 1;
-        if !self.endpoints[target].is_up {
-            return;
-        }
-        self.endpoints[target].promote(term);
+        let Some(term) = promote(&mut self.endpoints, target, self.now) else { return };
         self.promotions += 1;
         self.checker.record_promotion(at, term, &self.endpoints[target].log);
         self.update_entry(target, false);
@@ -318,13 +324,18 @@
             if !self.is_linked(Party::Node(index), Party::Endpoint(endpoint)) {
                 continue;
             }
-            let now = self.now;
+            let (now, delay) = (self.now, delay(index, endpoint));
             while let Some(connection) = self.nodes[index].connections.get_mut(&id)
                 && let Some((at, _)) = connection.to_endpoint.front()
                 && *at <= now
                 && let Some((_, commands)) = connection.to_endpoint.pop_front()
             {
                 for command in commands {
+                    let slot_wait = match command.order {
+                        Order::Status => self.random.random_range(0..MAX_SLOT_WAIT_MS),
+                        _ => 0,
+                    };
+                    let slot_wait = Duration::from_millis(slot_wait);
                     let state = &mut self.endpoints[endpoint];
                     let (mut answer, effect) =
                         state.execute(&mut connection.endpoint_side, &command, now);
@@ -336,7 +347,7 @@
                     self.checker.record_effect(&effect, &state.log);
                     connection
                         .to_node
-                        .push_back((now + ONE_WAY_DELAY, Event::EndpointAnswered(id, answer)));
+                        .push_back((now + delay + slot_wait, Event::EndpointAnswered(id, answer)));
                 }
             }
         }
@@ -412,7 +423,8 @@
             Action::Connect { connection, entry, .. } => self.connect(node, connection, &entry),
             Action::SendCommands(id, commands) => {
                 if let Some(connection) = self.nodes[node].connections.get_mut(&id) {
-                    connection.to_endpoint.push_back((now + ONE_WAY_DELAY, commands));
+                    let due_at = now + delay(node, connection.endpoint);
+                    connection.to_endpoint.push_back((due_at, commands));
                 }
             }
             Action::Disconnect(id) => {
@@ -468,7 +480,7 @@
             return;
         }
         let position = Some(self.endpoints[endpoint].applied_position());
-        let opened = (self.now + ONE_WAY_DELAY * 2, Event::EndpointConnected(id, position));
+        let opened = (self.now + delay(node, endpoint) * 2, Event::EndpointConnected(id, position));
         let connection = NodeConnection {
             endpoint,
             is_open: false,
@@ -528,33 +540,7 @@
 pub const START: Duration = Duration::from_secs(100);
 
 fn node(index: usize, consistency: Consistency, entries: &[Entry]) -> Node {
-    let settings = Settings {
-        node: format!("node-{index}"),
-        failure_domain: "near".to_owned(),
-        is_first_start: false,
-        regions: [("near".to_owned(), "region".to_owned())].into(),
-        drain_timeout: Duration::from_secs(7),
-        stop_timeout: Duration::from_secs(6),
-        has_customers: false,
-        limit_window: Duration::from_secs(5),
-        limit_slack: 20.0,
-    };
-    let mut router = Router::new(settings, index as u64 + 1, START);
-    let route = Route {
-        service: SERVICE.into(),
-        consistency,
-        timeout: Duration::from_secs(1),
-        objective: Duration::from_millis(400),
-        priority: 1,
-        is_public: false,
-    };
-    let configuration = Configuration {
-        version: 1,
-        routes: [("db".to_owned(), route)].into(),
-        services: vec![Service { name: SERVICE.into(), connections: 76 }],
-        transaction_idle: Duration::from_secs(3),
-        customers: None,
-    };
+    let mut router = Router::new(setup::settings(index), index as u64 + 1, START);
     let peer = Peer {
         name: format!("node-{index}").into(),
         failure_domain: "near".to_owned(),
@@ -563,7 +549,7 @@
     };
     let initial_events = VecDeque::from([
         (START, 1, Event::PeersChanged(vec![peer])),
-        (START, 1, Event::ConfigurationRead(configuration)),
+        (START, 1, Event::ConfigurationRead(setup::configuration(consistency))),
         (START, 1, Event::DirectoryChanged(Change::Snapshot(entries.to_vec()))),
     ]);
     let _ = router.step(START, Event::Tick);
@@ -576,6 +562,11 @@
     }
 }
 
+/// Returns the one-way delay between a node and an endpoint.
+fn delay(node: usize, endpoint: usize) -> Duration {
+    if node % ENDPOINTS.len() == endpoint { NEAR_DELAY } else { FAR_DELAY }
+}
+
 fn entry(endpoint: &Endpoint, is_draining: bool) -> Entry {
     Entry {
         id: Rc::from(endpoint.name.as_str()),
--- a/crates/router/tests/lagging_replicas/model.rs
+++ b/crates/router/tests/lagging_replicas/model.rs
@@ -204,10 +204,12 @@
             }
             let endpoint = &mut self.endpoints[connection.endpoint];
             let is_statement = command.id.is_some();
+            let is_begin = command.order == Order::Statement(Statement::Begin { read_only: false });
             self.report.arrivals += usize::from(is_statement);
             let lags = command.min_position.is_some_and(|min| min.number > endpoint.applied);
             let fault = match (is_statement, endpoint.running.len() < SLOTS) {
                 _ if lags => Some(Fault::Lagging),
+                (false, _) if is_begin && connection.endpoint != 0 => Some(Fault::ReadOnly),
                 (false, _) => None,
                 (true, true) => {
                     connection.is_held = true;
--- a/crates/router/tests/load.rs
+++ b/crates/router/tests/load.rs
@@ -139,17 +139,21 @@
     /// Answers all commands; client statements are refused as busy if `is_busy`.
     fn answer_commands(&mut self, is_busy: bool) {
         for (connection, command) in std::mem::take(&mut self.unanswered) {
-            let outcome = match is_busy && command.id.is_some() {
-                true => Outcome::Error { fault: Fault::Busy, text: String::new() },
-                false => Outcome::Complete(Some("proof".to_owned())),
+            let is_primary = self.primary_connections.contains(&connection);
+            let is_begin = command.order == Order::Statement(Statement::Begin { read_only: false });
+            let fault = match is_busy && command.id.is_some() {
+                true => Some(Fault::Busy),
+                false => (is_begin && !is_primary).then_some(Fault::ReadOnly),
+            };
+            let outcome = match fault {
+                Some(fault) => Outcome::Error { fault, text: String::new() },
+                None => Outcome::Complete(Some("proof".to_owned())),
             };
-            let begin = Order::Statement(Statement::Begin { read_only: false });
-            let state = if command.order == begin {
+            let state = if is_begin && is_primary {
                 TransactionState::Transaction
             } else {
                 TransactionState::Idle
             };
-            let is_primary = self.primary_connections.contains(&connection);
             let role = if is_primary { Role::Primary } else { Role::Replica };
             let status = (command.order == Order::Status).then_some(Status {
                 role,
@@ -166,11 +170,18 @@
         }
     }
 
-    /// Answers the oldest commands; the others stay unanswered.
+    /// Answers the primary's oldest commands and all of the replica; the others stay unanswered.
     fn answer_oldest(&mut self, count: usize) {
-        let others = self.unanswered.split_off(self.unanswered.len().min(count));
+        let (of_primary, mut due): (Vec<_>, Vec<_>) = std::mem::take(&mut self.unanswered)
+            .into_iter()
+            .partition(|(connection, _)| self.primary_connections.contains(connection));
+        let mut of_primary = of_primary.into_iter();
+        due.extend(of_primary.by_ref().take(count));
+        let others: Vec<(ConnectionId, Command)> = of_primary.collect();
+        self.unanswered = due;
         self.answer_commands(false);
-        self.unanswered.extend(others);
+        let sent_meanwhile = std::mem::replace(&mut self.unanswered, others);
+        self.unanswered.extend(sent_meanwhile);
     }
 
     fn send_write(&mut self, session: u64) {
@@ -283,7 +294,10 @@
         node.unanswered.retain(|(_, command)| command.order != Order::Status);
         // After 1.5 s, the evidence from the start is no longer valid.
         if step >= 150 {
-            probes += node.unanswered.iter().filter(|(_, command)| command.order == begin).count();
+            let of_primary = node.unanswered.iter().filter(|(connection, command)| {
+                node.primary_connections.contains(connection) && command.order == begin
+            });
+            probes += of_primary.count();
         }
         node.answer_commands(false);
         node.advance(10);
