--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -37,6 +37,8 @@
 const IDLE_PING_DELAY: Duration = Duration::from_millis(1500);
 /// Time to wait for any frame after a ping; covers many round trips between regions.
 const PONG_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time limit of a probe of another node; covers a busy process.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Time without loan requests after which a link without channels is closed: some renewals of loans.
 const LOAN_LINK_IDLE: Duration = Duration::from_secs(5);
@@ -221,6 +223,28 @@
     inbox.send(Message::LinkLost { peer: name, generation });
 }
 
+/// Returns whether the node called `name` answers a ping at `address`.
+pub(crate) async fn probe(name: &str, address: SocketAddr) -> bool {
+    let ping = async {
+        let stream = TcpStream::connect(address).await.ok()?;
+        let (mut reader, mut writer) = split(stream);
+        let mut codec = Codec::new();
+        let mut buffer = BytesMut::new();
+        codec.encode(frame(0, Body::Ping(Ping {})), &mut buffer).ok()?;
+        writer.send(&mut buffer).await.ok()?;
+        while let Some(Frame { body, .. }) = next_frame(&mut reader, &mut codec).await {
+            if let Some(Body::Pong(Pong { node })) = body {
+                writer.close();
+                return Some(node);
+            }
+        }
+        None
+    };
+    let answer = compio::time::timeout(PROBE_TIMEOUT, ping).await.ok().flatten();
+    // Another node may have taken over the address of a machine that was removed.
+    answer.is_some_and(|node| node.is_empty() || node == name)
+}
+
 async fn next_frame(reader: &mut Reader, codec: &mut Codec<Frame>) -> Option<Frame> {
     loop {
         match codec.decode(&mut reader.input) {
@@ -263,6 +287,7 @@
 ///
 /// Fails when the address cannot be bound.
 pub(crate) async fn listen(
+    node: Rc<str>,
     address: SocketAddr,
     inbox: Inbox,
     session_ids: SessionIds,
@@ -274,7 +299,8 @@
             match listener.accept().await {
                 Ok((stream, _)) => {
                     let (inbox, session_ids) = (inbox.clone(), session_ids.clone());
-                    let serving = serve_inbound(stream, inbox, session_ids, inbound_links.clone());
+                    let (node, links) = (node.clone(), inbound_links.clone());
+                    let serving = serve_inbound(node, stream, inbox, session_ids, links);
                     compio::runtime::spawn(serving).detach();
                 }
                 Err(error) => {
@@ -290,6 +316,7 @@
 
 /// Serves the channels of one inbound link until the link is lost.
 async fn serve_inbound(
+    node: Rc<str>,
     stream: TcpStream,
     inbox: Inbox,
     session_ids: SessionIds,
@@ -330,7 +357,8 @@
             }
             Some(Body::Ping(_)) => {
                 // Fails only if the writing task has ended; this task then ends too.
-                let _ = frames.unbounded_send(frame(channel, Body::Pong(Pong {})));
+                let pong = Pong { node: node.to_string() };
+                let _ = frames.unbounded_send(frame(channel, Body::Pong(pong)));
             }
             _ => {}
         }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -187,7 +187,8 @@
     /// Fails when the address cannot be bound.
     pub async fn listen(&self, address: SocketAddr) -> Result<()> {
         let (inbox, session_ids) = (self.inbox.clone(), self.session_ids.clone());
-        link::listen(address, inbox, session_ids, self.inbound_links.clone()).await
+        let node = self.router.node().into();
+        link::listen(node, address, inbox, session_ids, self.inbound_links.clone()).await
     }
 
     /// Serves the clients that connect to `listener` until the router requests the exit of the
@@ -321,6 +322,14 @@
             Action::AnnounceStoreStatus { store_is_unreachable } => {
                 self.inbound_links.announce_store_status(store_is_unreachable);
             }
+            Action::ProbePeer(peer, address) => {
+                let events = self.events();
+                let probing = async move {
+                    let has_answered = link::probe(&peer, address).await;
+                    events.send(Event::PeerProbed(peer, has_answered));
+                };
+                compio::runtime::spawn(probing).detach();
+            }
             Action::SendLoanRequests { to, address, sender, requests } => {
                 self.ensure_link(&to, address);
                 if let Some(link) = self.links.get_mut(&*to) {
--- a/crates/objects/src/http.rs
+++ b/crates/objects/src/http.rs
@@ -24,6 +24,8 @@
     Post,
     /// PUT.
     Put,
+    /// DELETE.
+    Delete,
 }
 
 /// HTTP request; the body, if any, is JSON.
@@ -151,6 +153,7 @@
             Method::Get => client.get(url)?,
             Method::Post => client.post(url)?,
             Method::Put => client.put(url)?,
+            Method::Delete => client.delete(url)?,
         };
         for (name, value) in &call.headers {
             request = request.header(*name, value.as_str())?;
--- a/crates/objects/src/one_shot.rs
+++ b/crates/objects/src/one_shot.rs
@@ -54,6 +54,7 @@
         Method::Get => hyper::Method::GET,
         Method::Post => hyper::Method::POST,
         Method::Put => hyper::Method::PUT,
+        Method::Delete => hyper::Method::DELETE,
     };
     let mut request = hyper::Request::builder()
         .method(method)
--- a/crates/router/src/group.rs
+++ b/crates/router/src/group.rs
@@ -59,6 +59,8 @@
     pub customer: Option<CustomerName>,
     /// Connections that one endpoint accepts from all nodes together.
     pub max_connections: u32,
+    /// Since when none of the nodes of a remote group has answered.
+    pub unserved_since: Option<Time>,
     /// Endpoints.
     pub endpoints: BTreeMap<EndpointId, Endpoint>,
     /// Whether the group has ever had more than one endpoint, so that another may be promoted.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod configuration;
 pub mod connection;
 pub mod customer;
+pub mod departure;
 pub mod directory;
 pub mod endpoint;
 pub mod evidence;
--- a/crates/router/src/router/connections.rs
+++ b/crates/router/src/router/connections.rs
@@ -38,8 +38,11 @@
 
     /// Returns the maximum number of connections of this node to one endpoint of a group.
     pub(super) fn max_connections(&self, group: &Group) -> usize {
-        let share = f64::from(group.max_connections) * MAX_CONNECTION_SHARE
-            / self.holder_count.max(1) as f64;
+        let holders = match self.is_substitute {
+            true => self.peers.len(),
+            false => self.holder_count,
+        };
+        let share = f64::from(group.max_connections) * MAX_CONNECTION_SHARE / holders.max(1) as f64;
         let max = match self.settings.has_customers {
             true => MAX_CUSTOMER_CONNECTIONS_PER_ENDPOINT,
             false => MAX_CONNECTIONS_PER_ENDPOINT,
@@ -67,8 +70,9 @@
         let now = self.now;
         let Some(group) = self.groups.get(service) else { return };
         let Some(endpoint) = group.endpoints.get(id) else { return };
-        let may_connect =
-            group.is_remote || (!self.is_role_undecided() && self.is_pooler != Some(false));
+        let may_connect = group.is_remote
+            || self.is_substitute
+            || (!self.is_role_undecided() && self.is_pooler != Some(false));
         if now < endpoint.connect_after || !may_connect {
             return;
         }
--- a/crates/router/src/router/event.rs
+++ b/crates/router/src/router/event.rs
@@ -44,6 +44,8 @@
     StoreEra(Era),
     /// The nodes of the fleet were read for the first time, or have changed.
     PeersChanged(Vec<Peer>),
+    /// A node of the fleet, named here, has answered a probe or has not.
+    PeerProbed(EndpointId, bool),
     /// A pooler of this node's clients reported whether the store is unreachable for it.
     PeerStoreNotice(EndpointId, bool),
     /// Another holder of customers, named here, requests loans.
@@ -171,6 +173,10 @@
         /// Whether this node does not reach the store.
         store_is_unreachable: bool,
     },
+    /// Find out whether a node runs at this address.
+    ProbePeer(EndpointId, SocketAddr),
+    /// Remove the record of a node that has left the fleet, unless it has changed.
+    RemovePeer(EndpointId),
     /// Request loans of another node, on a link to it.
     SendLoanRequests {
         /// Name of the node.
--- a/crates/router/src/router/mod.rs
+++ b/crates/router/src/router/mod.rs
@@ -19,6 +19,7 @@
 //! - `stopping`: shutdown
 //! - `record`, `dump`: logs, metrics and the state dump
 
+mod absence;
 mod answers;
 mod clients;
 mod connections;
@@ -51,6 +52,7 @@
 use crate::configuration::{Configuration, Route};
 use crate::connection::{Connection, Purpose, SentCommand};
 use crate::customer::{CustomerName, KeyDigest};
+use crate::departure::Detector;
 use crate::directory::{self, Directory, Entry};
 use crate::endpoint::Endpoint;
 use crate::experiment::{Experiment, Mechanism};
@@ -87,6 +89,9 @@
     next_connection: ConnectionId,
     /// Nodes of the fleet, by name.
     peers: Vec<Peer>,
+    departures: Detector,
+    /// Probes of nodes that have not ended, and when each was sent.
+    peer_probes: BTreeMap<EndpointId, Time>,
     /// Nodes that reported that the store is unreachable for them.
     peers_without_store: BTreeSet<EndpointId>,
     /// Nodes to which a channel has been opening for too long; they get no new work.
@@ -99,6 +104,9 @@
     holder_count: usize,
     /// Whether this node holds connections to endpoints; none until the fleet is known.
     is_pooler: Option<bool>,
+    /// Whether this node, which is not a pooler, serves its own clients of some databases because no pooler
+    /// answers.
+    is_substitute: bool,
     /// Services for whose databases this node holds connections even before they are used.
     own_services: BTreeSet<ServiceName>,
     /// Sessions whose database is not known yet, and when each started.
@@ -139,6 +147,8 @@
             connections: BTreeMap::new(),
             next_connection: 1,
             peers: Vec::new(),
+            departures: Detector::default(),
+            peer_probes: BTreeMap::new(),
             peers_without_store: BTreeSet::new(),
             slow_peers: BTreeSet::new(),
             started_at: now,
@@ -146,6 +156,7 @@
             poolers: Vec::new(),
             holder_count: MAX_DIRECT_FLEET_NODES,
             is_pooler: None,
+            is_substitute: false,
             own_services: BTreeSet::new(),
             starting_sessions: Vec::new(),
             answered_sessions: Vec::new(),
@@ -206,6 +217,7 @@
             }
             Event::StoreEra(era) => self.on_store_era(era),
             Event::PeersChanged(peers) => self.on_peers_changed(peers),
+            Event::PeerProbed(peer, has_answered) => self.on_peer_probed(&peer, has_answered),
             Event::PeerStoreNotice(peer, is_unreachable) => {
                 self.on_peer_store_notice(peer, is_unreachable)
             }
@@ -228,6 +240,11 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Returns the name of this node.
+    pub fn node(&self) -> &str {
+        &self.settings.node
+    }
+
     /// Returns whether work waits or a failover is in progress, so that ticks should be frequent.
     pub fn is_busy(&self) -> bool {
         self.groups.values().any(|group| {
@@ -256,6 +273,7 @@
                 }
             }
         }
+        self.departures.restart();
         for connection in self.connections.values_mut() {
             connection.requested_at =
                 connection.requested_at.max(now.saturating_sub(CONNECT_TIMEOUT / 2));
--- a/crates/router/src/router/peers.rs
+++ b/crates/router/src/router/peers.rs
@@ -74,15 +74,7 @@
         self.is_pooler = Some(is_pooler);
         self.update_own_services();
         self.update_limits();
-        let watch_scope = match (is_pooler, self.is_direct()) {
-            (false, _) => WatchScope::Nothing,
-            (true, true) => WatchScope::OwnClients,
-            (true, false) => WatchScope::ClientsOfPeers,
-        };
-        if self.watch_scope != watch_scope {
-            self.watch_scope = watch_scope;
-            self.actions.push(Action::WatchStore(watch_scope));
-        }
+        self.update_watch_scope();
         let services: Vec<ServiceName> =
             self.groups.iter().filter(|(_, g)| g.is_remote).map(|(name, _)| name.clone()).collect();
         for service in services {
@@ -101,13 +93,15 @@
     }
 
     /// Returns whether this node, as a pooler, serves its own clients of `database`, because it is
-    /// responsible for the database or reaches no other pooler of its failure domain.
+    /// responsible for the database, reaches no other pooler of its failure domain, or reaches none of the
+    /// nodes that serve the database.
     pub(super) fn serves_clients_of(&self, database: &str) -> bool {
         let is_near = |peer: &&Peer| {
             peer.failure_domain == self.settings.failure_domain && *peer.name != *self.settings.node
         };
         self.is_responsible(database)
             || self.poolers.iter().filter(is_near).all(|peer| self.has_failed(&peer.name))
+            || self.substitutes_for(database)
     }
 
     /// Returns whether another node does not answer, as far as this node knows.
@@ -350,8 +344,10 @@
             }
             self.disconnect(id, "channel was not opened in time");
         }
+        self.check_substitution();
         self.reconnect_to_suspects();
         self.remove_idle_remote_groups();
+        self.check_departures();
     }
 
     /// Returns whether a node has answered for any database since `since`. If so, a channel that
@@ -401,7 +397,8 @@
             }
         }
         let has_sessions = |service: &ServiceName| {
-            self.sessions.values().any(|session| session.serving_group.as_ref() == Some(service))
+            self.is_unserved(service)
+                || self.sessions.values().any(|s| s.serving_group.as_ref() == Some(service))
         };
         let due: Vec<(EndpointId, ServiceName)> = due
             .into_iter()
--- a/crates/router/src/router/starting.rs
+++ b/crates/router/src/router/starting.rs
@@ -62,6 +62,9 @@
             self.starting_sessions.push((id, now));
             return;
         }
+        if self.substitutes_for(&database) {
+            self.keep_remote_group(&database);
+        }
         if !matches!(self.verdict(id), Verdict::Refuse(..)) {
             self.conclude_start(id);
             return;
@@ -171,7 +174,10 @@
     fn is_served_elsewhere(&self, id: SessionId) -> bool {
         let Some(session) = self.sessions.get(&id) else { return false };
         match self.is_pooler {
-            Some(false) => true,
+            Some(false) => {
+                !self.is_substitute
+                    || !self.substitutes_for(session.database.as_deref().unwrap_or_default())
+            }
             Some(true) if session.is_channel => false,
             Some(true) if self.settings.has_customers => {
                 let customer = session.key.and_then(|key| self.identify(&key));
--- a/crates/router/src/router/stopping.rs
+++ b/crates/router/src/router/stopping.rs
@@ -70,7 +70,7 @@
 
     /// Closes an idle session. A client whose next statement is already on its way takes the error for
     /// the answer to it, and knows that the statement has not run.
-    fn close_idle_session(&mut self, id: SessionId) {
+    pub(super) fn close_idle_session(&mut self, id: SessionId) {
         let is_channel = self.sessions.get(&id).is_some_and(|session| session.is_channel);
         match is_channel {
             true => {
--- a/crates/router/src/session.rs
+++ b/crates/router/src/session.rs
@@ -236,6 +236,11 @@
         }
     }
 
+    /// Returns whether no statement and no transaction is open.
+    pub fn is_idle(&self) -> bool {
+        self.current.is_none() && self.transaction.is_none()
+    }
+
     /// Returns whether the current statement waits to be sent, and no statement of its transaction was
     /// sent either.
     pub fn has_unsent_statement(&self) -> bool {
