--- a/crates/router/src/group.rs
+++ b/crates/router/src/group.rs
@@ -193,6 +193,7 @@
                 self.primary = Some(Primary { endpoint: id.clone(), term: status.term });
                 self.without_primary_since = None;
                 self.fenced_since = None;
+                self.endpoints.values_mut().for_each(|endpoint| endpoint.fenced_since = None);
                 self.evidence.invalidate();
                 // The endpoint was promoted after it last answered as a replica. The next promotion
                 // first fences the new term and waits.
--- a/crates/router/src/router/probes.rs
+++ b/crates/router/src/router/probes.rs
@@ -238,6 +238,8 @@
             }
             return;
         }
+        self.survey_fenced(service);
+        let Some(group) = self.groups.get(service) else { return };
         let is_idle = now >= group.last_request_at + GROUP_IDLE_AFTER;
         let position_age = group.evidence.newest_position_at().map(|at| now.saturating_sub(at));
         let (max_position_age, min_pause) = match is_idle {
@@ -273,6 +275,23 @@
         }
     }
 
+    /// Asks the endpoints again that were fenced, as nothing reports the end of a fence.
+    fn survey_fenced(&mut self, service: &ServiceName) {
+        let now = self.now;
+        let Some(group) = self.groups.get(service) else { return };
+        let due: Vec<EndpointId> = group
+            .other_endpoints()
+            .filter(|endpoint| {
+                let is_recent = endpoint.status.is_some_and(|(at, _)| now < at + SURVEY_INTERVAL);
+                endpoint.fenced_since.is_some() && endpoint.suspected_since.is_none() && !is_recent
+            })
+            .map(|endpoint| endpoint.entry.id.clone())
+            .collect();
+        for id in due {
+            self.request_status(service, &id);
+        }
+    }
+
     /// Returns whether a pending answer needs evidence. A commit needs it only if no replica has
     /// confirmed it after half of [`MAX_REPLICATION_WAIT`].
     fn needs_evidence(&self, pending: &PendingAnswer) -> bool {
--- a/crates/router/src/router/promotion.rs
+++ b/crates/router/src/router/promotion.rs
@@ -7,6 +7,7 @@
 
 use super::{Action, Router};
 use crate::connection::Purpose;
+use crate::endpoint::Endpoint;
 use crate::failover::{
     Ballot, Failover, PromotionAnswer, Reason, Record, RecordName, Step, VOTE_INTERVAL, View,
 };
@@ -101,10 +102,16 @@
             if endpoint.draining_since.is_some_and(|since| now >= since + delay) {
                 return Some((Reason::Draining, Some(primary.clone())));
             }
-            let fenced_times =
-                group.endpoints.values().filter_map(|endpoint| endpoint.fenced_since);
-            let is_abandoned =
-                fenced_times.min().is_some_and(|since| now >= since + FENCED_TIMEOUT + delay);
+            // A promotion ends a fence, so only a recent status shows that it was given up.
+            let is_fenced = |endpoint: &Endpoint| {
+                endpoint.status.is_some_and(|(requested_at, status)| {
+                    status.fenced_term > primary.term && now < requested_at + MAX_STATUS_AGE
+                })
+            };
+            let is_abandoned = group.endpoints.values().any(|endpoint| {
+                let fenced_since = endpoint.fenced_since.filter(|_| is_fenced(endpoint));
+                fenced_since.is_some_and(|since| now >= since + FENCED_TIMEOUT + delay)
+            });
             return is_abandoned.then(|| (Reason::Fenced, Some(primary.clone())));
         }
         let since = group.without_primary_since?;
@@ -120,7 +127,7 @@
             let primary = Primary { endpoint: suspected.entry.id.clone(), term: group.term };
             return Some((Reason::Lost, Some(primary)));
         }
-        let is_replica = |endpoint: &crate::endpoint::Endpoint| {
+        let is_replica = |endpoint: &Endpoint| {
             endpoint.status.is_some_and(|(requested_at, status)| {
                 status.role == Role::Replica && now < requested_at + MAX_STATUS_AGE
             })
--- a/crates/router/tests/regression_status_after_promotion.rs
+++ b/crates/router/tests/regression_status_after_promotion.rs
@@ -121,6 +121,7 @@
                 Action::SendCommands(connection, commands) => {
                     self.unanswered.extend(commands.into_iter().map(|c| (connection, c)));
                 }
+                Action::FetchRecord(name) => self.record(format!("node: reads {name:?}")),
                 Action::Reply(_, answer) => self.record(format!("client: {:?}", answer.outcome)),
                 _ => {}
             }
@@ -297,3 +298,46 @@
     client: Complete(Some("proof"))
     "#);
 }
+
+/// Guards against the replacement of a healthy primary by a node that saw a replica fenced in the failover
+/// before, and did not ask the replica again: it took the fence for one of a failover that was given up.
+#[test]
+fn fence_that_a_promotion_has_ended_starts_no_failover() {
+    let mut world = World::new();
+    for replica in &mut world.endpoints[1..] {
+        replica.fenced_term = 2;
+    }
+    world.is_recording = true;
+    world.send(write());
+    world.run_for(FAILOVER_DURATION);
+    world.unreachable = Some(2);
+    promote(&mut world.endpoints, 1, world.now);
+    world.run_for(Duration::from_secs(10));
+    insta::assert_snapshot!(world.timeline.join("\n"), @r#"
+    former: write Complete(Some("proof"))
+    follower: status Replica term 1 received 1.0 fenced 2
+    former: status Primary term 1 received 1.1 fenced 0
+    promoted: status Replica term 1 received 1.0 fenced 2
+    promoted: status Primary term 2 received 1.0 fenced 0
+    client: Error { fault: InDoubt, text: "T3003 primary was replaced while the statement ran" }
+    former: status Replica term 1 received 1.1 fenced 0
+    "#);
+}
+
+/// A replica that stays fenced without a promotion is freed by a failover.
+#[test]
+fn fence_of_a_failover_that_was_given_up_is_ended() {
+    let mut world = World::new();
+    world.endpoints[2].fenced_term = 2;
+    world.send(write());
+    world.is_recording = true;
+    world.run_for(Duration::from_secs(7));
+    insta::assert_snapshot!(world.timeline.join("\n"), @r#"
+    former: write Complete(Some("proof"))
+    follower: status Replica term 1 received 1.0 fenced 2
+    former: status Primary term 1 received 1.1 fenced 0
+    promoted: status Replica term 1 received 1.0 fenced 0
+    client: Complete(Some("proof"))
+    node: reads Lease
+    "#);
+}
