--- a/crates/router/tests/regression_departed_poolers.rs
+++ b/crates/router/tests/regression_departed_poolers.rs
@@ -1,5 +1,5 @@
 //! Guards against a service that ends for good after machines were replaced. The records of removed
-//! machines stayed in the store and were chosen as poolers, so after a restart each running node sent its
+//! machines stayed in the store and made them poolers, so after a restart each running node sent its
 //! clients to machines that were gone.
 
 mod fleet;
--- a/crates/router/tests/regression_status_after_promotion.rs
+++ b/crates/router/tests/regression_status_after_promotion.rs
@@ -179,15 +179,25 @@
 
     /// Promotes an endpoint after a failover of which this node has seen nothing, as no client worked.
     fn fail_over(&mut self) {
-        for replica in &mut self.endpoints[1..] {
-            replica.fenced_term = 2;
-        }
+        self.set_fence(2);
         // Only the clock advances: the node sends nothing.
         self.now += FAILOVER_DURATION;
         promote(&mut self.endpoints, 1, self.now);
         self.is_recording = true;
     }
 
+    /// Fences the replicas at a term, or ends their fence.
+    fn set_fence(&mut self, term: u64) {
+        self.endpoints[1..].iter_mut().for_each(|replica| replica.fenced_term = term);
+    }
+
+    /// Sends a write that the former primary commits and the replicas receive.
+    fn write_at_former(&mut self) {
+        self.send(write());
+        self.answer_commands();
+        self.replicate(0);
+    }
+
     fn send(&mut self, statement: Statement) {
         let request = Request::Statement { id: "client".to_owned(), statement, floor: None };
         self.step(Event::ClientRequest(SESSION, request));
@@ -202,9 +212,7 @@
 fn status_from_after_a_promotion_confirms_no_commit() {
     let mut world = World::new();
     world.fail_over();
-    world.send(write());
-    world.answer_commands();
-    world.replicate(0);
+    world.write_at_former();
     world.run_for(Duration::from_millis(60));
     world.replicate(1);
     world.run_for(Duration::from_millis(400));
@@ -235,15 +243,13 @@
     "#);
 }
 
-/// The node does not reach the promoted endpoint, which could have denied to be the primary.
+/// The node does not reach the promoted endpoint, whose answer would show the promotion.
 #[test]
 fn status_from_after_the_promotion_of_an_unreachable_endpoint_confirms_no_commit() {
     let mut world = World::new();
     world.unreachable = Some(1);
     world.fail_over();
-    world.send(write());
-    world.answer_commands();
-    world.replicate(0);
+    world.write_at_former();
     world.run_for(Duration::from_millis(60));
     world.replicate(1);
     world.run_for(Duration::from_millis(900));
@@ -261,17 +267,11 @@
 #[test]
 fn commits_are_acknowledged_after_a_failover_was_given_up() {
     let mut world = World::new();
-    for replica in &mut world.endpoints[1..] {
-        replica.fenced_term = 2;
-    }
+    world.set_fence(2);
     world.run_for(FAILOVER_DURATION);
-    for replica in &mut world.endpoints[1..] {
-        replica.fenced_term = 0;
-    }
+    world.set_fence(0);
     world.is_recording = true;
-    world.send(write());
-    world.answer_commands();
-    world.replicate(0);
+    world.write_at_former();
     world.run_for(Duration::from_millis(400));
     insta::assert_snapshot!(world.timeline.join("\n"), @r#"
     former: write Complete(Some("proof"))
@@ -288,9 +288,7 @@
     world.unreachable = Some(1);
     world.now += FAILOVER_DURATION;
     world.is_recording = true;
-    world.send(write());
-    world.answer_commands();
-    world.replicate(0);
+    world.write_at_former();
     world.run_for(Duration::from_millis(900));
     insta::assert_snapshot!(world.timeline.join("\n"), @r#"
     former: write Complete(Some("proof"))
@@ -304,9 +302,7 @@
 #[test]
 fn fence_that_a_promotion_has_ended_starts_no_failover() {
     let mut world = World::new();
-    for replica in &mut world.endpoints[1..] {
-        replica.fenced_term = 2;
-    }
+    world.set_fence(2);
     world.is_recording = true;
     world.send(write());
     world.run_for(FAILOVER_DURATION);
